--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,241 @@
+// Package admit queues the requests of the shards that this node owns, and
+// grants them places on endpoints.
+//
+// The owner of a shard is the only node that admits work to its endpoints, so
+// it knows the memory that each request holds without waiting for the
+// endpoints' reports, which lag. What it knows of running requests comes from
+// the entry nodes and is complete again one report after a change of owner.
+//
+// Invariants:
+//   - A request is granted at most one place by this node.
+//   - The slots of an endpoint are never exceeded by this node's grants, nor
+//     is its memory by the amounts that it expects them to need.
+//   - Of two queued requests that fit the same endpoints, the one of the
+//     higher priority goes first, and the earlier one within a priority.
+//
+// A second owner of the same shard may exist for a time. Both then admit to
+// the same endpoints; that costs preemptions and breaks no promise, since an
+// entry node uses one place only.
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+const (
+	maxQueue       = 5000             // requests waiting in one shard
+	entryTimeout   = 6 * time.Second  // a request that its entry node no longer repeats
+	runningTimeout = 5 * time.Second  // a place that its entry node no longer reports
+	failureHold    = time.Second      // first rest of an endpoint that failed
+	maxFailureHold = 30 * time.Second //
+	leavingHold    = time.Minute      // rest of an endpoint that said it is leaving
+	lookahead      = 16               // queued requests considered behind one that does not fit
+	firstOutput    = 256              // expected output without experience, tokens
+	overloadRetry  = 2 * time.Second  // advice to a request that is shed
+)
+
+var handle kernel.Handle[*Book]
+
+func init() {
+	handle = kernel.Register(kernel.Plugin[*Book]{
+		Name: "admit",
+		Rank: 40,
+		Init: func(kernel.Config) *Book { return &Book{shards: map[string]*Shard{}} },
+		Step: step,
+	})
+}
+
+// Of returns the shards that this node owns in s.
+func Of(s kernel.State) *Book {
+	return handle.Of(s)
+}
+
+// Book holds the shards that this node owns or was asked about. It is
+// immutable.
+type Book struct {
+	shards  map[string]*Shard
+	watched []kernel.Target
+	leaving map[string]bool // IP numbers of hosts that are leaving
+}
+
+func (b *Book) with(key string, sh *Shard) *Book {
+	next := *b
+	next.shards = maps.Clone(b.shards)
+	next.shards[key] = sh
+	return &next
+}
+
+// Shards returns the shards by key. The caller must not change the map.
+func (b *Book) Shards() map[string]*Shard {
+	return b.shards
+}
+
+// Shard is the queue and the places of one shard. It is immutable.
+type Shard struct {
+	service string
+	index   int
+	seq     uint64
+	queue   *immutable.SortedMap[place, waiting]
+	places  *immutable.Map[string, place] // place in the queue, by request
+	granted *immutable.Map[string, granted]
+	used    *immutable.Map[string, usage] // by endpoint
+}
+
+// place is a position in the queue.
+type place struct {
+	priority int
+	seq      uint64
+}
+
+// byPlace orders the queue: higher priorities first, then earlier arrivals.
+type byPlace struct{}
+
+// Compare orders two places.
+func (byPlace) Compare(a, b place) int {
+	if c := cmp.Compare(b.priority, a.priority); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.seq, b.seq)
+}
+
+// waiting is a queued request.
+type waiting struct {
+	ask      *wire.Ask
+	entry    string // node that asked
+	seen     time.Time
+	deadline time.Time
+}
+
+// granted is a request with a place.
+type granted struct {
+	ask      *wire.Ask
+	entry    string
+	endpoint string
+	addr     string
+	tokens   int
+	seen     time.Time
+}
+
+// usage is what the grants of one endpoint hold, and whether it may get more.
+type usage struct {
+	slots    int
+	memory   int // tokens
+	failures int // in a row
+	rest     time.Time
+}
+
+func newShard(service string, index int) *Shard {
+	return &Shard{
+		service: service,
+		index:   index,
+		queue:   immutable.NewSortedMap[place, waiting](byPlace{}),
+		places:  immutable.NewMap[string, place](nil),
+		granted: immutable.NewMap[string, granted](nil),
+		used:    immutable.NewMap[string, usage](nil),
+	}
+}
+
+// Waiting returns the number of queued requests.
+func (sh *Shard) Waiting() int {
+	return sh.queue.Len()
+}
+
+// Granted returns the number of requests with a place.
+func (sh *Shard) Granted() int {
+	return sh.granted.Len()
+}
+
+// Used returns the slots and the memory, in tokens, that grants hold on an
+// endpoint.
+func (sh *Shard) Used(endpoint string) (slots, memory int) {
+	u, _ := sh.used.Get(endpoint)
+	return u.slots, u.memory
+}
+
+// Returns the memory that a request is expected to need in all, in tokens.
+// Lengths have heavy tails: the longer an output is, the more of it remains.
+func expectedMemory(a *wire.Ask, tokens int) int {
+	if a.GetPrompt() == 0 && a.GetLimit() == 0 {
+		return 0
+	}
+	output := max(firstOutput, tokens+tokens/2)
+	if limit := int(a.GetLimit()); limit > 0 {
+		output = min(output, limit)
+	}
+	return int(a.GetPrompt()) + max(output, tokens)
+}
+
+func (sh *Shard) withUsage(endpoint string, change func(u usage) usage) *Shard {
+	next := *sh
+	u, _ := sh.used.Get(endpoint)
+	next.used = sh.used.Set(endpoint, change(u))
+	return &next
+}
+
+func (sh *Shard) withGranted(g granted) *Shard {
+	next := sh.withUsage(g.endpoint, func(u usage) usage {
+		u.slots++
+		u.memory += expectedMemory(g.ask, g.tokens)
+		return u
+	})
+	next.granted = next.granted.Set(g.ask.GetRequest(), g)
+	return next
+}
+
+func (sh *Shard) withoutGranted(id string) *Shard {
+	g, ok := sh.granted.Get(id)
+	if !ok {
+		return sh
+	}
+	next := sh.withUsage(g.endpoint, func(u usage) usage {
+		u.slots--
+		u.memory -= expectedMemory(g.ask, g.tokens)
+		return u
+	})
+	next.granted = next.granted.Delete(id)
+	return next
+}
+
+func (sh *Shard) withProgress(g granted, tokens int, now time.Time) *Shard {
+	grown := expectedMemory(g.ask, tokens) - expectedMemory(g.ask, g.tokens)
+	next := sh
+	if grown != 0 {
+		next = sh.withUsage(g.endpoint, func(u usage) usage {
+			u.memory += grown
+			return u
+		})
+	} else {
+		copied := *sh
+		next = &copied
+	}
+	g.tokens = tokens
+	g.seen = now
+	next.granted = next.granted.Set(g.ask.GetRequest(), g)
+	return next
+}
+
+func (sh *Shard) withWaiting(priority int, w waiting) *Shard {
+	next := *sh
+	next.seq++
+	at := place{priority: priority, seq: next.seq}
+	next.queue = sh.queue.Set(at, w)
+	next.places = sh.places.Set(w.ask.GetRequest(), at)
+	return &next
+}
+
+func (sh *Shard) withoutWaiting(id string) *Shard {
+	at, ok := sh.places.Get(id)
+	if !ok {
+		return sh
+	}
+	next := *sh
+	next.queue = sh.queue.Delete(at)
+	next.places = sh.places.Delete(id)
+	return &next
+}
--- /dev/null
+++ b/admit/place.go
@@ -0,0 +1,121 @@
+package admit
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/owner"
+	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+// prefixBonus is how much free memory, as a part of the whole, an endpoint may
+// lack and still be chosen because it has the prompt's prefix in its cache.
+const prefixBonus = 0.25
+
+// Grants places to queued requests until none fits any more.
+func (sh *Shard) fill(now time.Time, endpoints []spec.Endpoint) (*Shard, []kernel.Effect) {
+	next := sh
+	var effects []kernel.Effect
+	misses := 0
+	for itr := sh.queue.Iterator(); !itr.Done() && misses < lookahead; {
+		_, w, _ := itr.Next()
+		e, ok := next.pick(now, endpoints, w.ask)
+		if !ok {
+			misses++
+			continue
+		}
+		g := granted{ask: w.ask, entry: w.entry, endpoint: e.Name, addr: e.Addr, seen: now}
+		next = next.withoutWaiting(w.ask.GetRequest()).withGranted(g)
+		effects = append(effects, grantEffect(g))
+	}
+	return next, effects
+}
+
+// Returns the endpoints whose hosts are not leaving.
+func (b *Book) usable(endpoints []spec.Endpoint) []spec.Endpoint {
+	if len(b.leaving) == 0 {
+		return endpoints
+	}
+	kept := make([]spec.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		addr, err := netip.ParseAddrPort(e.Addr)
+		if err != nil || !b.leaving[addr.Addr().String()] {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+func grantEffect(g granted) kernel.Effect {
+	return kernel.Send{To: g.entry, Frame: &wire.Frame{Body: &wire.Frame_Grant{Grant: &wire.Grant{
+		Request:  g.ask.GetRequest(),
+		Endpoint: g.endpoint,
+		Addr:     g.addr,
+		Service:  g.ask.GetService(),
+		Shard:    g.ask.GetShard(),
+	}}}}
+}
+
+// Picks the endpoint with the largest part of its capacity free, with a bonus
+// for the one that should have the prompt's prefix in its cache.
+func (sh *Shard) pick(now time.Time, endpoints []spec.Endpoint, a *wire.Ask) (spec.Endpoint, bool) {
+	favourite := cachedAt(endpoints, a.GetPrefix())
+	best, bestScore, found := spec.Endpoint{}, 0.0, false
+	for _, e := range endpoints {
+		u, _ := sh.used.Get(e.Name)
+		if now.Before(u.rest) || avoided(a, e.Name) || !fits(u, e, a) {
+			continue
+		}
+		score := freePart(u, e)
+		if e.Name == favourite {
+			score += prefixBonus
+		}
+		if !found || score > bestScore {
+			best, bestScore, found = e, score, true
+		}
+	}
+	return best, found
+}
+
+func avoided(a *wire.Ask, endpoint string) bool {
+	for _, name := range a.GetAvoid() {
+		if name == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// An idle endpoint takes any request, even one that is expected to need more
+// than its memory.
+func fits(u usage, e spec.Endpoint, a *wire.Ask) bool {
+	if u.slots >= e.Slots {
+		return false
+	}
+	return e.Memory == 0 || u.slots == 0 || u.memory+expectedMemory(a, 0) <= e.Memory
+}
+
+func freePart(u usage, e spec.Endpoint) float64 {
+	slots := 1 - float64(u.slots)/float64(e.Slots)
+	if e.Memory == 0 {
+		return slots
+	}
+	return min(slots, 1-float64(u.memory)/float64(e.Memory))
+}
+
+// Returns the endpoint that requests with a prefix prefer, which every owner
+// computes alike.
+func cachedAt(endpoints []spec.Endpoint, prefix uint64) string {
+	if prefix == 0 {
+		return ""
+	}
+	names := make([]string, len(endpoints))
+	for i, e := range endpoints {
+		names[i] = e.Name
+	}
+	first, _ := owner.Pick(strconv.FormatUint(prefix, 16), names)
+	return first
+}
--- /dev/null
+++ b/admit/step.go
@@ -0,0 +1,264 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/owner"
+	"github.com/plantaindeck/plantaindeck/policy"
+	"github.com/plantaindeck/plantaindeck/shard"
+	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+func step(now time.Time, s kernel.State, e kernel.Event) (*Book, []kernel.Effect) {
+	b := Of(s)
+	switch e := e.(type) {
+	case kernel.Received:
+		next, effects := b.received(now, s, e)
+		return next, local(s, effects)
+	case kernel.Tick:
+		next, effects := b.tick(now, s)
+		return next, local(s, effects)
+	case kernel.LoadRead:
+		return b.loaded(now, e), nil
+	case kernel.HostsListed:
+		return b.hosts(e), nil
+	}
+	return b, nil
+}
+
+// Turns messages to this node itself into events.
+func local(s kernel.State, effects []kernel.Effect) []kernel.Effect {
+	self := s.Config.Self.GetId()
+	for i, f := range effects {
+		if m, ok := f.(kernel.Send); ok && m.To == self {
+			effects[i] = kernel.Raise{Event: kernel.Received{From: self, Frame: m.Frame}}
+		}
+	}
+	return effects
+}
+
+func (b *Book) received(now time.Time, s kernel.State, e kernel.Received) (*Book, []kernel.Effect) {
+	switch body := e.Frame.GetBody().(type) {
+	case *wire.Frame_Ask:
+		return b.ask(now, s, e.From, body.Ask)
+	case *wire.Frame_Withdraw:
+		w := body.Withdraw
+		return b.change(now, s, w.GetService(), w.GetShard(), func(sh *Shard) *Shard {
+			return sh.withoutWaiting(w.GetRequest()).withoutGranted(w.GetRequest())
+		})
+	case *wire.Frame_Release:
+		r := body.Release
+		return b.change(now, s, r.GetService(), r.GetShard(), func(sh *Shard) *Shard {
+			return sh.release(now, r)
+		})
+	case *wire.Frame_Progress:
+		p := body.Progress
+		return b.change(now, s, p.GetService(), p.GetShard(), func(sh *Shard) *Shard {
+			return sh.progress(now, e.From, p)
+		})
+	}
+	return b, nil
+}
+
+// Applies a change to a shard and grants the places that it made free.
+func (b *Book) change(now time.Time, s kernel.State, service string, index uint32, change func(*Shard) *Shard) (*Book, []kernel.Effect) {
+	key := shard.Key(service, int(index))
+	sh, ok := b.shards[key]
+	if !ok {
+		sh = newShard(service, int(index))
+	}
+	next, effects := change(sh).fill(now, b.usable(endpoints(s, service, int(index))))
+	return b.with(key, next), effects
+}
+
+func endpoints(s kernel.State, service string, index int) []spec.Endpoint {
+	svc, _, ok := policy.Of(s).Service(service)
+	if !ok {
+		return nil
+	}
+	return shard.Endpoints(svc, index)
+}
+
+func (b *Book) ask(now time.Time, s kernel.State, from string, a *wire.Ask) (*Book, []kernel.Effect) {
+	key := shard.Key(a.GetService(), int(a.GetShard()))
+	sh, ok := b.shards[key]
+	if !ok {
+		sh = newShard(a.GetService(), int(a.GetShard()))
+	}
+	if g, ok := sh.granted.Get(a.GetRequest()); ok {
+		return b, []kernel.Effect{grantEffect(g)}
+	}
+	accept := kernel.Send{To: from, Frame: &wire.Frame{Body: &wire.Frame_Accept{Accept: &wire.Accept{Request: a.GetRequest()}}}}
+	if at, ok := sh.places.Get(a.GetRequest()); ok {
+		return b.with(key, sh.refreshed(at, now)), []kernel.Effect{accept}
+	}
+	svc, _, ok := policy.Of(s).Service(a.GetService())
+	if !ok {
+		return b, []kernel.Effect{refuse(from, a, kernel.ReasonNoService, 0)}
+	}
+	if sh.queue.Len() >= maxQueue {
+		return b, []kernel.Effect{refuse(from, a, kernel.ReasonOverload, overloadRetry)}
+	}
+	w := waiting{ask: a, entry: from, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
+	next, effects := sh.withWaiting(priority(svc, a), w).fill(now, b.usable(shard.Endpoints(svc, int(a.GetShard()))))
+	return b.with(key, next), append([]kernel.Effect{accept}, effects...)
+}
+
+func priority(svc *spec.Service, a *wire.Ask) int {
+	if c, ok := svc.Class(a.GetClass()); ok {
+		return c.Priority
+	}
+	return 0
+}
+
+func refuse(to string, a *wire.Ask, reason kernel.Reason, retry time.Duration) kernel.Effect {
+	r := &wire.Refuse{Request: a.GetRequest(), Reason: string(reason), Retry: int64(retry)}
+	return kernel.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Refuse{Refuse: r}}}
+}
+
+func (sh *Shard) refreshed(at place, now time.Time) *Shard {
+	w, _ := sh.queue.Get(at)
+	w.seen = now
+	next := *sh
+	next.queue = sh.queue.Set(at, w)
+	return &next
+}
+
+func (sh *Shard) release(now time.Time, r *wire.Release) *Shard {
+	g, ok := sh.granted.Get(r.GetRequest())
+	if !ok {
+		return sh
+	}
+	next := sh.withoutGranted(r.GetRequest())
+	return next.withUsage(g.endpoint, func(u usage) usage {
+		return u.after(now, r)
+	})
+}
+
+// Rests an endpoint that failed, twice as long after each failure in a row.
+func (u usage) after(now time.Time, r *wire.Release) usage {
+	switch {
+	case r.GetLeaving():
+		u.rest = now.Add(leavingHold)
+	case r.GetFailed():
+		hold := min(failureHold<<min(u.failures, 10), maxFailureHold)
+		u.rest = now.Add(hold)
+		u.failures++
+	case r.GetTokens() > 0:
+		u.failures = 0
+	}
+	return u
+}
+
+// Takes in an entry node's report of its running requests.
+func (sh *Shard) progress(now time.Time, from string, p *wire.Progress) *Shard {
+	next := sh
+	for _, r := range p.GetRunning() {
+		g, known := next.granted.Get(r.GetRequest())
+		switch {
+		case known && g.endpoint == r.GetEndpoint():
+			next = next.withProgress(g, int(r.GetTokens()), now)
+		case !known && r.GetAsk() != nil:
+			g = granted{ask: r.GetAsk(), entry: from, endpoint: r.GetEndpoint(), tokens: int(r.GetTokens()), seen: now}
+			next = next.withoutWaiting(r.GetRequest()).withGranted(g)
+		}
+	}
+	return next
+}
+
+func (b *Book) tick(now time.Time, s kernel.State) (*Book, []kernel.Effect) {
+	next := b
+	var effects []kernel.Effect
+	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
+		sh, out := b.shards[key].expire(now)
+		filled, grants := sh.fill(now, b.usable(endpoints(s, sh.service, sh.index)))
+		if filled != b.shards[key] {
+			next = next.with(key, filled)
+		}
+		effects = append(effects, out...)
+		effects = append(effects, grants...)
+	}
+	watched, watch := next.watch(s)
+	return watched, append(effects, watch...)
+}
+
+// Drops what its entry node no longer repeats or reports, and what is too
+// late.
+func (sh *Shard) expire(now time.Time) (*Shard, []kernel.Effect) {
+	next := sh
+	var effects []kernel.Effect
+	for itr := sh.queue.Iterator(); !itr.Done(); {
+		_, w, _ := itr.Next()
+		switch {
+		case !now.Before(w.deadline):
+			next = next.withoutWaiting(w.ask.GetRequest())
+			effects = append(effects, refuse(w.entry, w.ask, kernel.ReasonDeadline, 0))
+		case now.Sub(w.seen) >= entryTimeout:
+			next = next.withoutWaiting(w.ask.GetRequest())
+		}
+	}
+	for itr := sh.granted.Iterator(); !itr.Done(); {
+		id, g, _ := itr.Next()
+		if now.Sub(g.seen) >= runningTimeout {
+			next = next.withoutGranted(id)
+		}
+	}
+	return next, effects
+}
+
+// Takes in an engine's own report, which may say that it is leaving.
+func (b *Book) loaded(now time.Time, e kernel.LoadRead) *Book {
+	if !e.Load.Leaving {
+		return b
+	}
+	next := b
+	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
+		sh := b.shards[key]
+		if sh.service != e.Service {
+			continue
+		}
+		next = next.with(key, sh.withUsage(e.Endpoint, func(u usage) usage {
+			u.rest = now.Add(leavingHold)
+			return u
+		}))
+	}
+	return next
+}
+
+// Asks for the load of the engines that this node admits to, when they have
+// changed.
+func (b *Book) watch(s kernel.State) (*Book, []kernel.Effect) {
+	var targets []kernel.Target
+	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
+		sh := b.shards[key]
+		if first, _ := owner.Pick(key, member.Of(s).Owners()); first != s.Config.Self.GetId() {
+			continue
+		}
+		for _, e := range endpoints(s, sh.service, sh.index) {
+			if e.Memory > 0 {
+				targets = append(targets, kernel.Target{Service: sh.service, Endpoint: e.Name, Addr: e.Addr})
+			}
+		}
+	}
+	if slices.Equal(targets, b.watched) {
+		return b, nil
+	}
+	next := *b
+	next.watched = targets
+	return &next, []kernel.Effect{kernel.Watch{Endpoints: targets}}
+}
+
+// Takes in which hosts the platform says are leaving.
+func (b *Book) hosts(e kernel.HostsListed) *Book {
+	next := *b
+	next.leaving = map[string]bool{}
+	for _, ip := range e.Leaving {
+		next.leaving[ip] = true
+	}
+	return &next
+}
--- /dev/null
+++ b/cmds/call.go
@@ -0,0 +1,142 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/client"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+)
+
+// callSettings are the settings of the call command.
+type callSettings struct {
+	remote
+	class      string
+	limit      int
+	user       string
+	method     string
+	path       string
+	body       string
+	key        string
+	idempotent bool
+	whole      bool
+	timeout    time.Duration
+}
+
+func callCommand() *cobra.Command {
+	var s callSettings
+	cmd := &cobra.Command{
+		Use:   "call SERVICE [PROMPT]",
+		Short: "Send a request as a caller",
+		Long: "Send a chat request with PROMPT to a model service, or with --path a call to a plain one.\n\n" +
+			"Exit codes: 0 the request ran, 1 the command failed, 2 wrong usage, 3 the request did not run,\n" +
+			"4 it may have run, 5 it ran but its answer is not whole.",
+		Args: cobra.RangeArgs(1, 2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := s.check(args); err != nil {
+				return &usageError{err}
+			}
+			return s.run(cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr(), args)
+		},
+	}
+	s.bind(cmd)
+	f := cmd.Flags()
+	f.StringVar(&s.class, "class", "", "class of the request; the service's first class if not given")
+	f.IntVar(&s.limit, "limit", 0, "longest answer, tokens; 0 for no limit")
+	f.StringVar(&s.user, "user", "", "who sends the request, within the workspace")
+	f.StringVar(&s.method, "method", fasthttp.MethodGet, "method of a call to a plain service")
+	f.StringVar(&s.path, "path", "", "path of a call to a plain service")
+	f.StringVar(&s.body, "body", "", "body of a call to a plain service")
+	f.StringVar(&s.key, "key", "", "idempotency key, under which a call runs at most once")
+	f.BoolVar(&s.idempotent, "idempotent", false, "the call may be sent again whatever became of it")
+	f.BoolVar(&s.whole, "whole", false, "print the answer only when it is whole")
+	f.DurationVar(&s.timeout, "timeout", time.Minute, "longest wait for a whole answer")
+	return cmd
+}
+
+func (s *callSettings) check(args []string) error {
+	switch {
+	case s.path == "" && len(args) == 1:
+		return errors.New("give a PROMPT for a model service, or --path for a plain one")
+	case s.path != "" && len(args) == 2:
+		return errors.New("give either a PROMPT or --path, not both")
+	case s.path != "" && !strings.HasPrefix(s.path, "/"):
+		return errors.Errorf("--path: must start with /, not %q", s.path)
+	case s.limit < 0:
+		return errors.Errorf("--limit: must not be %d", s.limit)
+	}
+	return nil
+}
+
+func (s *callSettings) run(ctx context.Context, out, log io.Writer, args []string) error {
+	c, err := s.client()
+	if err != nil {
+		return err
+	}
+	if s.path != "" {
+		return s.plain(ctx, c, out, args[0])
+	}
+	chat := client.Chat{Service: args[0], Class: s.class, Prompt: args[1], Limit: s.limit, User: s.user}
+	if s.whole {
+		return s.wholeChat(ctx, c, out, chat)
+	}
+	tokens := 0
+	node, err := c.Stream(ctx, chat, func(t client.Token) error {
+		tokens++
+		_, err := fmt.Fprint(out, t.Text)
+		return err
+	})
+	if tokens > 0 {
+		fmt.Fprintln(out)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(log, "%d tokens through node %s\n", tokens, node)
+	return nil
+}
+
+func (s *callSettings) plain(ctx context.Context, c *client.Client, out io.Writer, service string) error {
+	r := client.Request{
+		Method:     s.method,
+		Path:       "/v1/services/" + service + s.path,
+		Key:        s.key,
+		Idempotent: s.idempotent,
+		Body:       []byte(s.body),
+		Timeout:    s.timeout,
+	}
+	resp, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, strings.TrimSpace(string(resp.Body)))
+	return err
+}
+
+// completion is the part of a chat.completion that the command prints.
+type completion struct {
+	Choices []struct {
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+}
+
+func (s *callSettings) wholeChat(ctx context.Context, c *client.Client, out io.Writer, chat client.Chat) error {
+	resp, err := c.Whole(ctx, chat, s.timeout)
+	if err != nil {
+		return err
+	}
+	var whole completion
+	if err := json.Unmarshal(resp.Body, &whole); err != nil || len(whole.Choices) == 0 {
+		return errors.Errorf("answer is no chat.completion: %q", resp.Body)
+	}
+	_, err = fmt.Fprintln(out, strings.TrimSpace(whole.Choices[0].Message.Content))
+	return err
+}
--- /dev/null
+++ b/cmds/document.go
@@ -0,0 +1,242 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/client"
+	"github.com/plantaindeck/plantaindeck/editor"
+	"github.com/plantaindeck/plantaindeck/front"
+	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/rogpeppe/go-internal/diff"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	documentTimeout = 15 * time.Second
+	forcePause      = 100 * time.Millisecond
+)
+
+func applyCommand() *cobra.Command {
+	var r remote
+	var base int64
+	var wait time.Duration
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Change a team's document",
+		Long: "Check a document and make it the team's next revision. The edit is accepted only if nobody else\n" +
+			"changed the document since the revision given by --base, or else since the command read it.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := r.client()
+			if err != nil {
+				return err
+			}
+			return apply(cmd.Context(), c, cmd.OutOrStdout(), args[0], base, wait)
+		},
+	}
+	r.bind(cmd)
+	cmd.Flags().Int64Var(&base, "base", -1, "revision that the change was made to; -1 takes the latest")
+	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until every node has the change in force")
+	return cmd
+}
+
+func apply(ctx context.Context, c *client.Client, out io.Writer, file string, base int64, wait time.Duration) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	doc, err := spec.Parse(text)
+	if err != nil {
+		return &usageError{errors.Errorf("document %s is not valid, nothing was changed:\n%v", file, err)}
+	}
+	if base < 0 {
+		latest, err := latest(ctx, c, doc.Team)
+		if err != nil {
+			return err
+		}
+		base = int64(latest.Revision)
+	}
+	body, err := json.Marshal(front.Edit{Base: uint64(base), ID: rand.Text(), Text: string(text)})
+	if err != nil {
+		return errors.Wrap(err, "encode edit")
+	}
+	// The edit's id makes it safe to send again.
+	var made editor.Record
+	if err := doJSON(ctx, c, client.Request{
+		Method: fasthttp.MethodPut, Path: "/v1/documents/" + doc.Team, Body: body, Idempotent: true, Timeout: documentTimeout,
+	}, &made); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "team %s is at revision %d\n", made.Team, made.Revision)
+	if wait > 0 {
+		return waitForce(ctx, c, out, made, wait)
+	}
+	return nil
+}
+
+// Returns the latest revision, which is 0 for a team without a document.
+func latest(ctx context.Context, c *client.Client, team string) (editor.Record, error) {
+	var r editor.Record
+	err := doJSON(ctx, c, client.Request{
+		Method: fasthttp.MethodGet, Path: "/v1/documents/" + team, Idempotent: true, Timeout: documentTimeout,
+	}, &r)
+	var e *apierr.Error
+	if errors.As(err, &e) && e.Code == apierr.CodeNotFound {
+		return editor.Record{Team: team}, nil
+	}
+	return r, err
+}
+
+func doJSON(ctx context.Context, c *client.Client, r client.Request, v any) error {
+	resp, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body, v), "decode answer of %s", resp.Addr)
+}
+
+// behindError names the nodes that do not have a revision in force.
+type behindError struct {
+	made  editor.Record
+	nodes []string
+}
+
+// Error names the nodes.
+func (e *behindError) Error() string {
+	return fmt.Sprintf("team %s revision %d is accepted, but not yet in force on %d nodes: %v", e.made.Team, e.made.Revision, len(e.nodes), e.nodes)
+}
+
+// Waits until every node has a revision in force.
+func waitForce(ctx context.Context, c *client.Client, out io.Writer, made editor.Record, wait time.Duration) error {
+	end := time.Now().Add(wait)
+	for {
+		statuses, err := allStatus(ctx, c)
+		if err != nil {
+			return err
+		}
+		behind := nodesBehind(statuses, made)
+		if len(behind) == 0 {
+			fmt.Fprintf(out, "in force on %d nodes\n", len(statuses))
+			return nil
+		}
+		if !time.Now().Before(end) {
+			return &behindError{made: made, nodes: behind}
+		}
+		time.Sleep(forcePause)
+	}
+}
+
+func nodesBehind(statuses []nodeStatus, made editor.Record) []string {
+	var behind []string
+	for _, st := range statuses {
+		if st.err != nil || st.revision(made.Team) < made.Revision {
+			behind = append(behind, st.addr)
+		}
+	}
+	return behind
+}
+
+func getCommand() *cobra.Command {
+	var r remote
+	cmd := &cobra.Command{
+		Use:   "get TEAM",
+		Short: "Print a team's document",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := r.client()
+			if err != nil {
+				return err
+			}
+			var got editor.Record
+			if err := doJSON(cmd.Context(), c, client.Request{
+				Method: fasthttp.MethodGet, Path: "/v1/documents/" + args[0], Idempotent: true, Timeout: documentTimeout,
+			}, &got); err != nil {
+				return err
+			}
+			_, err = fmt.Fprint(cmd.OutOrStdout(), got.Text)
+			return err
+		},
+	}
+	r.bind(cmd)
+	return cmd
+}
+
+func diffCommand() *cobra.Command {
+	var r remote
+	cmd := &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Show how a file differs from the team's document",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := r.client()
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return errors.Wrap(err, "read document")
+			}
+			doc, err := spec.Parse(text)
+			if err != nil {
+				return &usageError{errors.Errorf("document %s is not valid:\n%v", args[0], err)}
+			}
+			old, err := latest(cmd.Context(), c, doc.Team)
+			if err != nil {
+				return err
+			}
+			name := fmt.Sprintf("revision %d", old.Revision)
+			_, err = cmd.OutOrStdout().Write(diff.Diff(name, []byte(old.Text), args[0], text))
+			return err
+		},
+	}
+	r.bind(cmd)
+	return cmd
+}
+
+func historyCommand() *cobra.Command {
+	var r remote
+	cmd := &cobra.Command{
+		Use:   "history TEAM",
+		Short: "List the revisions of a team's document",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := r.client()
+			if err != nil {
+				return err
+			}
+			var records []editor.Record
+			if err := doJSON(cmd.Context(), c, client.Request{
+				Method: fasthttp.MethodGet, Path: "/v1/documents/" + args[0] + "/history", Idempotent: true, Timeout: documentTimeout,
+			}, &records); err != nil {
+				return err
+			}
+			for _, rec := range records {
+				fmt.Fprintf(cmd.OutOrStdout(), "%d\t%s\t%s\t%d bytes\n", rec.Revision, rec.Time.UTC().Format(time.RFC3339), rec.Author, len(rec.Text))
+			}
+			return nil
+		},
+	}
+	r.bind(cmd)
+	return cmd
+}
+
+func hashCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hash KEY",
+		Short: "Print the form in which a document or a setting holds a key",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), spec.HashKey(args[0]))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmds/node.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/config"
+	"github.com/plantaindeck/plantaindeck/node"
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+)
+
+func nodeCommand() *cobra.Command {
+	var settings config.Node
+	cmd := &cobra.Command{
+		Use:   "node",
+		Short: "Run the daemon of an entry host",
+		Long: "Run the daemon of an entry host until SIGTERM or SIGINT, which stop it without cutting off a request.\n" +
+			"A second signal ends it at once.",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := settings.Check(); err != nil {
+				return &usageError{err}
+			}
+			return runNode(settings)
+		},
+	}
+	settings.Flags(cmd.Flags())
+	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logFlags)
+	cmd.Flags().AddGoFlag(logFlags.Lookup("v"))
+	return cmd
+}
+
+func runNode(settings config.Node) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	n, err := node.Start(context.Background(), node.Config{Settings: settings, Now: time.Now()})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-n.Wait():
+		return err
+	case <-signals:
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(ctx) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-signals:
+		cancel()
+		return <-stopped
+	}
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,167 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Config describes how to reach the service.
+type Config struct {
+	Addr    string        // IP number and port
+	Timeout time.Duration // longest wait for one answer
+}
+
+// Client is a Store over HTTP.
+type Client struct {
+	cfg  Config
+	http *fasthttp.HostClient
+}
+
+const (
+	maxConns    = 32
+	maxResponse = 64 << 20 // bytes
+)
+
+// NewClient returns a client. It connects when it is first used.
+func NewClient(cfg Config) *Client {
+	return &Client{cfg: cfg, http: &fasthttp.HostClient{
+		Addr:                cfg.Addr,
+		MaxConns:            maxConns,
+		MaxResponseBodySize: maxResponse,
+		// A call that failed is never repeated here: it may have taken effect.
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Range, error) {
+	return c.read(ctx, key, &RangeRequest{Key: []byte(key)})
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string, after int64) (Range, error) {
+	req := &RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}
+	if after > 0 {
+		req.MinModRevision = after + 1
+	}
+	return c.read(ctx, prefix, req)
+}
+
+func (c *Client) read(ctx context.Context, key string, req *RangeRequest) (Range, error) {
+	var resp RangeResponse
+	if err := c.call(ctx, "range", PathRange, key, req, &resp); err != nil {
+		return Range{}, &UnavailableError{Op: "range", Key: key, Err: err}
+	}
+	r := Range{Revision: resp.Header.Revision}
+	for _, kv := range resp.Kvs {
+		r.Entries = append(r.Entries, Entry{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision})
+	}
+	return r, nil
+}
+
+// Commit implements Store.
+func (c *Client) Commit(ctx context.Context, conditions []Condition, writes []Write) (bool, error) {
+	req := &TxnRequest{}
+	for _, cond := range conditions {
+		req.Compare = append(req.Compare, Compare{Result: "EQUAL", Target: "MOD", Key: []byte(cond.Key), ModRevision: cond.Revision})
+	}
+	for _, w := range writes {
+		op := RequestOp{}
+		if w.Delete {
+			op.Delete = &DeleteRequest{Key: []byte(w.Key)}
+		} else {
+			op.Put = &PutRequest{Key: []byte(w.Key), Value: w.Value, Lease: w.Lease}
+		}
+		req.Success = append(req.Success, op)
+	}
+	key := ""
+	if len(writes) > 0 {
+		key = writes[0].Key
+	}
+	var resp TxnResponse
+	if err := c.call(ctx, "txn", PathTxn, key, req, &resp); err != nil {
+		return false, writeError("txn", key, err)
+	}
+	return resp.Succeeded, nil
+}
+
+// GrantLease implements Store.
+func (c *Client) GrantLease(ctx context.Context, seconds int64) (int64, error) {
+	var resp LeaseGrantResponse
+	if err := c.call(ctx, "lease grant", PathLeaseMake, "", &LeaseGrantRequest{TTL: seconds}, &resp); err != nil {
+		return 0, writeError("lease grant", "", err)
+	}
+	return resp.ID, nil
+}
+
+// KeepLease implements Store.
+func (c *Client) KeepLease(ctx context.Context, lease int64) (bool, error) {
+	var resp LeaseKeepAliveResponse
+	if err := c.call(ctx, "lease keepalive", PathLeaseKeep, "", &LeaseKeepAliveRequest{ID: lease}, &resp); err != nil {
+		return false, writeError("lease keepalive", "", err)
+	}
+	return resp.Result.TTL > 0, nil
+}
+
+// refusedError is an answer that says the call had no effect.
+type refusedError struct {
+	message string
+}
+
+// Error returns the service's message.
+func (e *refusedError) Error() string {
+	return e.message
+}
+
+// Tells a write that had no effect from one that may have had one.
+func writeError(op, key string, err error) error {
+	var refused *refusedError
+	var dial *net.OpError
+	if errors.As(err, &refused) || errors.As(err, &dial) && dial.Op == "dial" {
+		return &UnavailableError{Op: op, Key: key, Err: err}
+	}
+	return &UnknownError{Op: op, Key: key, Err: err}
+}
+
+func (c *Client) call(ctx context.Context, op, path, key string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s of %q", op, key)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + c.cfg.Addr + path)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, resp, timeout(ctx, c.cfg.Timeout)); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		var e ErrorResponse
+		if err := json.Unmarshal(resp.Body(), &e); err != nil {
+			return errors.Errorf("status %d", resp.StatusCode())
+		}
+		if resp.StatusCode() >= fasthttp.StatusInternalServerError {
+			return errors.Errorf("status %d: %s", resp.StatusCode(), e.Message)
+		}
+		return &refusedError{message: e.Message}
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), out), "decode answer to %s of %q", op, key)
+}
+
+// Returns the time left in ctx, at most the configured timeout.
+func timeout(ctx context.Context, most time.Duration) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return most
+	}
+	return min(most, time.Until(deadline))
+}
--- /dev/null
+++ b/store/etcd.go
@@ -0,0 +1,118 @@
+package store
+
+// The messages of the etcd v3 JSON gateway that the client uses. Keys and
+// values travel in base64, which encoding/json applies to []byte, and 64-bit
+// numbers travel as strings.
+
+// RangeRequest is the body of POST /v3/kv/range.
+type RangeRequest struct {
+	Key            []byte `json:"key"`
+	RangeEnd       []byte `json:"range_end,omitempty"`
+	MinModRevision int64  `json:"min_mod_revision,omitempty,string"`
+}
+
+// RangeResponse is its answer.
+type RangeResponse struct {
+	Header Header `json:"header"`
+	Kvs    []KV   `json:"kvs,omitempty"`
+}
+
+// Header is part of every answer.
+type Header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// KV is a key with its value.
+type KV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,omitempty,string"`
+}
+
+// TxnRequest is the body of POST /v3/kv/txn.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+}
+
+// Compare is a condition on a key's revision of last change.
+type Compare struct {
+	Result      string `json:"result"` // EQUAL
+	Target      string `json:"target"` // MOD
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// RequestOp is one operation of a transaction.
+type RequestOp struct {
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+}
+
+// PutRequest writes a key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,omitempty,string"`
+}
+
+// DeleteRequest deletes a key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// TxnResponse is the answer to a transaction.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+// LeaseGrantRequest is the body of POST /v3/lease/grant.
+type LeaseGrantRequest struct {
+	TTL int64 `json:"TTL,string"` // seconds
+}
+
+// LeaseGrantResponse is its answer.
+type LeaseGrantResponse struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+// LeaseKeepAliveRequest is the body of POST /v3/lease/keepalive.
+type LeaseKeepAliveRequest struct {
+	ID int64 `json:"ID,string"`
+}
+
+// LeaseKeepAliveResponse is its answer; a TTL of zero means that the lease has
+// lapsed.
+type LeaseKeepAliveResponse struct {
+	Result LeaseGrantResponse `json:"result"`
+}
+
+// ErrorResponse is the body of an answer with an error status.
+type ErrorResponse struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// The paths of the calls.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathLeaseMake = "/v3/lease/grant"
+	PathLeaseKeep = "/v3/lease/keepalive"
+	PathWatch     = "/v3/watch"
+)
+
+// PrefixEnd returns the end of the range of keys with a prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
