Test the front: bad input, outcomes, one order per key, streams under cuts

Cause: nothing showed that errors have the one JSON form or that a stream survives its link. Ruled out: answering 413 from the library's own limit, which resets the connection while the sender still writes (seen: connection reset); the front now reads up to four times the limit and answers 413 itself.

--- a/fakes/server.go
+++ b/fakes/server.go
@@ -25,6 +25,8 @@
 	done     chan error
 	stop     context.CancelFunc
 	closed   <-chan struct{}
+	killed   sync.Once
+	killErr  error
 }
 
 // Starts a stand-in on addr; port 0 takes a free port. Work runs until the
@@ -63,13 +65,16 @@
 	return s.listener.Addr().String()
 }
 
-// Kill ends the stand-in as a crash would: every connection breaks at once.
+// Kill ends the stand-in as a crash would: every connection breaks at once. A
+// stand-in that was killed stays so.
 func (s *Server) Kill() error {
-	s.stop()
-	err := s.listener.kill()
-	<-s.done
-	<-s.done
-	return err
+	s.killed.Do(func() {
+		s.stop()
+		s.killErr = s.listener.kill()
+		<-s.done
+		<-s.done
+	})
+	return s.killErr
 }
 
 // trackedListener knows its open connections, so that a crash can break them.
--- a/front/front.go
+++ b/front/front.go
@@ -34,6 +34,7 @@
 	idleTimeout  = 120 * time.Second // between two requests of a connection
 	headerLimit  = 16 << 10          // bytes
 	maxPerIP     = 4096              // connections
+	bodySlack    = 4                 // a body this many times too large is still read, so that its sender sees the answer
 )
 
 // Config describes a front.
@@ -64,7 +65,7 @@
 	f.http = &fasthttp.Server{
 		Handler:               f.handle,
 		ErrorHandler:          badRequest,
-		MaxRequestBodySize:    cfg.Body,
+		MaxRequestBodySize:    cfg.Body * bodySlack,
 		ReadBufferSize:        headerLimit,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
@@ -145,6 +146,8 @@
 
 func (f *Front) dispatch(ctx *fasthttp.RequestCtx, path string) *apierr.Error {
 	switch {
+	case len(ctx.PostBody()) > f.cfg.Body:
+		return apierr.NotRun(fasthttp.StatusRequestEntityTooLarge, apierr.CodeTooLarge, "request body has %d bytes, more than %d", len(ctx.PostBody()), f.cfg.Body)
 	case path == "/healthz":
 		ctx.SetBodyString("ok\n")
 		return nil
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,297 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/fakes"
+	"github.com/plantaindeck/plantaindeck/front"
+	"github.com/plantaindeck/plantaindeck/local"
+	"github.com/valyala/fasthttp"
+)
+
+func start(t *testing.T, cfg local.Config) *local.Deployment {
+	t.Helper()
+	cfg.Engine.Memory, cfg.Engine.Slots, cfg.Engine.Speed = 20000, 16, 20
+	cfg.Spaces = 2
+	d, err := local.Start(context.Background(), cfg)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// request is one HTTP request of a test.
+type request struct {
+	method string
+	path   string
+	key    string // workspace key
+	body   string
+	head   map[string]string
+}
+
+func do(t *testing.T, addr string, r request) (int, []byte, *fasthttp.ResponseHeader) {
+	t.Helper()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://" + addr + r.path)
+	req.Header.SetMethod(r.method)
+	if r.key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.key)
+	}
+	for k, v := range r.head {
+		req.Header.Set(k, v)
+	}
+	req.SetBodyString(r.body)
+	qt.Assert(t, fasthttp.DoTimeout(req, resp, time.Minute), qt.IsNil)
+	return resp.StatusCode(), resp.Body(), &resp.Header
+}
+
+func assertError(t *testing.T, status int, body []byte, wantStatus int, wantCode apierr.Code) {
+	t.Helper()
+	var e apierr.Error
+	qt.Assert(t, json.Unmarshal(body, &e), qt.IsNil, qt.Commentf("body %q", body))
+	qt.Assert(t, status, qt.Equals, wantStatus, qt.Commentf("body %q", body))
+	qt.Assert(t, e.Status, qt.Equals, wantStatus)
+	qt.Assert(t, e.Code, qt.Equals, wantCode)
+	qt.Assert(t, e.Outcome, qt.Equals, apierr.OutcomeNotRun)
+	qt.Assert(t, e.Message, qt.Not(qt.Equals), "")
+}
+
+func TestBadInput(t *testing.T) {
+	d := start(t, local.Config{Nodes: 1, Engines: 1, Services: 1})
+	chat := `{"model":"llm","messages":[{"role":"user","content":"hi"}]}`
+	tests := []struct {
+		name   string
+		r      request
+		status int
+		code   apierr.Code
+	}{
+		{"no key", request{"POST", "/v1/chat/completions", "", chat, nil}, 401, apierr.CodeUnauthorized},
+		{"unknown key", request{"POST", "/v1/chat/completions", "nobody", chat, nil}, 401, apierr.CodeUnauthorized},
+		{"wrong method", request{"GET", "/v1/chat/completions", "w1-key", "", nil}, 405, apierr.CodeBadMethod},
+		{"malformed JSON", request{"POST", "/v1/chat/completions", "w1-key", `{"model":`, nil}, 400, apierr.CodeBadRequest},
+		{"wrong type", request{"POST", "/v1/chat/completions", "w1-key", `{"model":7}`, nil}, 400, apierr.CodeBadRequest},
+		{"null", request{"POST", "/v1/chat/completions", "w1-key", `null`, nil}, 400, apierr.CodeBadRequest},
+		{"no messages", request{"POST", "/v1/chat/completions", "w1-key", `{"model":"llm"}`, nil}, 400, apierr.CodeBadRequest},
+		{"negative limit", request{"POST", "/v1/chat/completions", "w1-key", strings.Replace(chat, "{", `{"max_tokens":-1,`, 1), nil}, 400, apierr.CodeBadRequest},
+		{"unknown service", request{"POST", "/v1/chat/completions", "w1-key", strings.Replace(chat, "llm", "other", 1), nil}, 404, apierr.CodeNoService},
+		{"unknown model", request{"POST", "/v1/chat/completions", "w1-key", strings.Replace(chat, "llm", "llm/x", 1), nil}, 404, apierr.CodeNotFound},
+		{"unknown adapter", request{"POST", "/v1/chat/completions", "w1-key", strings.Replace(chat, "llm", "llm/m:x", 1), nil}, 404, apierr.CodeNotFound},
+		{"unknown class", request{"POST", "/v1/chat/completions", "w1-key", strings.Replace(chat, "{", `{"service_tier":"gold",`, 1), nil}, 400, apierr.CodeBadRequest},
+		{"oversized body", request{"POST", "/v1/chat/completions", "w1-key", strings.Repeat("x", 2<<20), nil}, 413, apierr.CodeTooLarge},
+		{"unknown plain service", request{"GET", "/v1/services/other/stock", "w1-key", "", nil}, 404, apierr.CodeNoService},
+		{"unknown call", request{"GET", "/v1/services/orders/nowhere", "w1-key", "", nil}, 404, apierr.CodeNoCall},
+		{"wrong method of a call", request{"DELETE", "/v1/services/orders/orders", "w1-key", "", nil}, 405, apierr.CodeBadMethod},
+		{"oversized key", request{"POST", "/v1/services/orders/orders", "w1-key", "", map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}}, 400, apierr.CodeBadRequest},
+		{"unknown path", request{"GET", "/v2", "", "", nil}, 404, apierr.CodeNotFound},
+		{"workspace key for operators", request{"GET", "/v1/status", "w1-key", "", nil}, 401, apierr.CodeUnauthorized},
+		{"bad document", request{"PUT", "/v1/documents/local", "operator-key", `{"base":1,"id":"e","text":"team: local\nteams: x\n"}`, nil}, 400, apierr.CodeBadDocument},
+		{"edit without id", request{"PUT", "/v1/documents/local", "operator-key", `{"base":1,"text":"team: local"}`, nil}, 400, apierr.CodeBadRequest},
+		{"missing document", request{"GET", "/v1/documents/nobody", "operator-key", "", nil}, 404, apierr.CodeNotFound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			status, body, _ := do(t, d.Front(0), test.r)
+			assertError(t, status, body, test.status, test.code)
+			status, body, _ = do(t, d.Front(0), request{"POST", "/v1/chat/completions", "w1-key", chat, nil})
+			qt.Assert(t, status, qt.Equals, 200, qt.Commentf("the node must keep serving: %s", body))
+		})
+	}
+	qt.Assert(t, len(d.Services[0].Executions()), qt.Equals, 0)
+}
+
+func TestDocumentRefusedChangesNothing(t *testing.T) {
+	d := start(t, local.Config{Nodes: 1, Engines: 1})
+	get := request{"GET", "/v1/documents/local", "operator-key", "", nil}
+	_, before, _ := do(t, d.Front(0), get)
+	edit, err := json.Marshal(front.Edit{Base: 1, ID: "e", Text: strings.Replace(d.Document, "kind: model", "kind: other", 1)})
+	qt.Assert(t, err, qt.IsNil)
+	status, body, _ := do(t, d.Front(0), request{"PUT", "/v1/documents/local", "operator-key", string(edit), nil})
+	assertError(t, status, body, 400, apierr.CodeBadDocument)
+	_, after, _ := do(t, d.Front(0), get)
+	qt.Assert(t, string(after), qt.Equals, string(before))
+}
+
+func TestOrderRunsOnceUnderItsKey(t *testing.T) {
+	d := start(t, local.Config{Nodes: 2, Services: 2})
+	order := request{"POST", "/v1/services/orders/orders", "w1-key", `{"n":1}`, map[string]string{"Idempotency-Key": "k1"}}
+	status, first, _ := do(t, d.Front(0), order)
+	qt.Assert(t, status, qt.Equals, 200)
+	waitReplay(t, d, 1, order)
+
+	t.Run("repeat", func(t *testing.T) {
+		status, again, _ := do(t, d.Front(1), order)
+		qt.Assert(t, status, qt.Equals, 200)
+		qt.Assert(t, string(again), qt.Equals, string(first))
+	})
+	t.Run("other body", func(t *testing.T) {
+		other := order
+		other.body = `{"n":2}`
+		status, body, _ := do(t, d.Front(1), other)
+		assertError(t, status, body, 422, apierr.CodeKeyReused)
+	})
+	t.Run("other workspace", func(t *testing.T) {
+		other := order
+		other.key = "w2-key"
+		status, _, _ := do(t, d.Front(1), other)
+		qt.Assert(t, status, qt.Equals, 200)
+	})
+	qt.Assert(t, executions(d), qt.Equals, 2)
+}
+
+// Waits until a node answers a repeat of an order with its recorded answer.
+func waitReplay(t *testing.T, d *local.Deployment, node int, r request) {
+	t.Helper()
+	for range 200 {
+		if status, _, _ := do(t, d.Front(node), r); status == 200 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the order's answer was not recorded")
+}
+
+// Returns how often an order ran.
+func executions(d *local.Deployment) int {
+	n := 0
+	for _, s := range d.Services {
+		for _, e := range s.Executions() {
+			if e.Path == "/orders" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestOrderOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  fakes.ServiceFaults
+		status  int
+		outcome apierr.Outcome
+		runs    int
+	}{
+		{"answer lost", fakes.ServiceFaults{Drop: 1}, 502, apierr.OutcomeUnknown, 1},
+		{"refused", fakes.ServiceFaults{Refuse: 1}, 502, apierr.OutcomeNotRun, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := start(t, local.Config{Nodes: 1, Services: 1})
+			d.Services[0].SetFaults(test.faults)
+			order := request{"POST", "/v1/services/orders/orders", "w1-key", `{}`, map[string]string{"Idempotency-Key": "k"}}
+			status, body, _ := do(t, d.Front(0), order)
+			var e apierr.Error
+			qt.Assert(t, json.Unmarshal(body, &e), qt.IsNil)
+			qt.Assert(t, status, qt.Equals, test.status)
+			qt.Assert(t, e.Outcome, qt.Equals, test.outcome)
+			qt.Assert(t, executions(d), qt.Equals, test.runs)
+		})
+	}
+}
+
+func TestStoreOutageRefusesKeyedOrders(t *testing.T) {
+	d := start(t, local.Config{Nodes: 1, Services: 1, Engines: 1})
+	d.KV.SetFaults(fakes.KVFaults{Down: true})
+	order := request{"POST", "/v1/services/orders/orders", "w1-key", `{}`, map[string]string{"Idempotency-Key": "k"}}
+	status, body, head := do(t, d.Front(0), order)
+	assertError(t, status, body, 503, apierr.CodeUnavailable)
+	qt.Assert(t, string(head.Peek("Retry-After")), qt.Not(qt.Equals), "")
+	qt.Assert(t, executions(d), qt.Equals, 0)
+
+	status, _, _ = do(t, d.Front(0), request{"GET", "/v1/services/orders/stock", "w1-key", "", nil})
+	qt.Assert(t, status, qt.Equals, 200, qt.Commentf("calls that need no claim are served in an outage"))
+
+	d.KV.SetFaults(fakes.KVFaults{})
+	waitReplay(t, d, 0, order)
+	qt.Assert(t, executions(d), qt.Equals, 1)
+}
+
+func TestStreamOrderAndGeneration(t *testing.T) {
+	d := start(t, local.Config{Nodes: 2, Engines: 2})
+	for i, cut := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("%d cuts", cut), func(t *testing.T) {
+			for _, e := range d.Engines {
+				e.SetFaults(fakes.EngineFaults{Cut: cut, CutAt: 5})
+			}
+			body := fmt.Sprintf(`{"model":"llm","stream":true,"messages":[{"role":"user","content":"[[tokens:40]] %d"}]}`, i)
+			status, answer, _ := do(t, d.Front(i%2), request{"POST", "/v1/chat/completions", "w1-key", body, nil})
+			qt.Assert(t, status, qt.Equals, 200)
+			assertStream(t, string(answer), 40)
+		})
+	}
+}
+
+// Asserts that a streamed answer holds n tokens of one generation in order.
+func assertStream(t *testing.T, answer string, n int) {
+	t.Helper()
+	var generation string
+	events := strings.Split(strings.TrimSpace(answer), "\n\n")
+	qt.Assert(t, len(events), qt.Equals, n+1, qt.Commentf("%s", answer))
+	for i, e := range events[:n] {
+		id, _, _ := strings.Cut(strings.TrimPrefix(e, "id: "), "\n")
+		gen, index, _ := strings.Cut(id, "/")
+		if i == 0 {
+			generation = gen
+		}
+		qt.Assert(t, gen, qt.Equals, generation)
+		qt.Assert(t, index, qt.Equals, fmt.Sprint(i))
+	}
+	qt.Assert(t, events[n], qt.Equals, "data: [DONE]")
+}
+
+func TestEngineLost(t *testing.T) {
+	t.Run("a stream ends with an error event", func(t *testing.T) {
+		d := start(t, local.Config{Nodes: 1, Engines: 1})
+		killed := make(chan error, 1)
+		go func() {
+			for d.Engines[0].Counts().Tokens < 20 {
+				time.Sleep(time.Millisecond)
+			}
+			killed <- d.Engines[0].Kill()
+		}()
+		body := `{"model":"llm","stream":true,"messages":[{"role":"user","content":"[[tokens:8000]]"}]}`
+		status, answer, _ := do(t, d.Front(0), request{"POST", "/v1/chat/completions", "w1-key", body, nil})
+		qt.Assert(t, <-killed, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, 200)
+		_, event, ok := strings.Cut(string(answer), "event: error\ndata: ")
+		qt.Assert(t, ok, qt.IsTrue)
+		var e apierr.Error
+		qt.Assert(t, json.Unmarshal([]byte(event), &e), qt.IsNil)
+		qt.Assert(t, e.Code, qt.Equals, apierr.CodeLost)
+		qt.Assert(t, e.Outcome, qt.Equals, apierr.OutcomeRan)
+	})
+	t.Run("a whole reply is repaired unseen", func(t *testing.T) {
+		d := start(t, local.Config{Nodes: 1, Engines: 2})
+		killed := make(chan error, 1)
+		go func() { killed <- killBusy(d) }()
+		body := `{"model":"llm","service_tier":"report","messages":[{"role":"user","content":"[[tokens:600]]"}]}`
+		status, answer, _ := do(t, d.Front(0), request{"POST", "/v1/chat/completions", "w1-key", body, nil})
+		qt.Assert(t, <-killed, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%s", answer))
+		var whole struct {
+			Usage struct {
+				Tokens int `json:"completion_tokens"`
+			} `json:"usage"`
+		}
+		qt.Assert(t, json.Unmarshal(answer, &whole), qt.IsNil)
+		qt.Assert(t, whole.Usage.Tokens, qt.Equals, 600)
+	})
+}
+
+// Kills the engine that is making tokens.
+func killBusy(d *local.Deployment) error {
+	for {
+		for _, e := range d.Engines {
+			if n := e.Counts().Tokens; n > 20 {
+				return e.Kill()
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
