--- a/spec/parse.go
+++ b/spec/parse.go
@@ -9,8 +9,10 @@
 	"strings"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
 )
 
 // MaxSize is the largest document in bytes; the key-value service holds
@@ -56,9 +58,10 @@
 	if len(text) > MaxSize {
 		return nil, faultAt(1, "document", fmt.Sprintf("size of %d bytes exceeds %d", len(text), MaxSize))
 	}
-	file, err := parser.ParseBytes(text, 0)
+	// The decoder reports keys that are given twice, with their fields.
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, faultAt(1, "document", "not YAML: "+firstLine(err.Error()))
+		return nil, syntaxFault(err)
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return nil, faultAt(1, "document", fmt.Sprintf("holds %d YAML documents, not one", len(file.Docs)))
@@ -78,6 +81,15 @@
 	return &ParseError{Faults: []Fault{{Line: line, Field: field, Message: message}}}
 }
 
+func syntaxFault(err error) error {
+	line := 1
+	var syntax yaml.Error
+	if errors.As(err, &syntax) && syntax.GetToken() != nil {
+		line = syntax.GetToken().Position.Line
+	}
+	return faultAt(line, "document", "not YAML: "+firstLine(err.Error()))
+}
+
 func firstLine(s string) string {
 	line, _, _ := strings.Cut(s, "\n")
 	return line
