--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -38,6 +38,7 @@
 // EngineFaults is what an engine does wrong for the time being.
 type EngineFaults struct {
 	Pause  time.Duration `json:"pause"`  // stop decoding once for this long
+	Stall  time.Duration `json:"stall"`  // hold one stream's tokens back for this long
 	Drop   int           `json:"drop"`   // requests to run without an answer
 	Cut    int           `json:"cut"`    // streams to break
 	CutAt  int           `json:"cutat"`  // break a stream after this many tokens
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -119,6 +119,14 @@
 	return true
 }
 
+func (e *Engine) takeStall() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stall := e.faults.Stall
+	e.faults.Stall = 0
+	return stall
+}
+
 func (e *Engine) begin(req chatRequest, id string, now time.Time) (g *generation, status int, text string) {
 	if e.takeFault(func(f *EngineFaults) *int { return &f.Refuse }) {
 		return nil, fasthttp.StatusTooManyRequests, "refused"
@@ -243,6 +251,7 @@
 }
 
 func (r *tokenReader) fill() {
+	time.Sleep(r.engine.takeStall())
 	have, state := r.engine.await(r.gen, r.sent)
 	for ; r.sent < have; r.sent++ {
 		if r.sent == r.cutAt {
