--- a/member/member.go
+++ b/member/member.go
@@ -35,6 +35,7 @@
 	pauseGap      = 600 * time.Millisecond // a Tick this late means this process was paused
 	retryPeriod   = 3 * time.Second        // between two tries of a lost member
 	syncPeriod    = 3 * time.Second        // between two full exchanges with a neighbour
+	settleTime    = 2 * time.Second        // lists that changed within it may differ without harm
 	forgetAfter   = 2 * time.Hour          // a dead member is dropped
 	holdBase      = 4 * time.Second        // first hold of a returned member
 	maxHold       = 2 * time.Minute
@@ -76,6 +77,8 @@
 	owners    []string         // sorted ids of the members that may own something
 	around    []string         // neighbours that this node probes
 	roster    uint64
+	rosterAt  time.Time // when roster changed last
+	unsettled []string  // sorted ids of the members that are not simply alive
 	seq       uint64
 	lastTick  time.Time
 	lastProbe time.Time
@@ -130,6 +133,12 @@
 	return len(v.peers)
 }
 
+// Roster returns a hash over every known member, by which two nodes compare
+// their lists.
+func (v *View) Roster() uint64 {
+	return v.roster
+}
+
 // Neighbours returns the members that this node probes.
 func (v *View) Neighbours() []string {
 	return v.around
@@ -166,21 +175,33 @@
 
 // Recomputes what is derived from the member records.
 func (v *View) index(now time.Time) {
-	v.owners = v.owners[:0:0]
+	v.owners = nil
+	v.unsettled = nil
+	before := v.roster
 	v.roster = 0
 	for id, p := range v.peers {
 		v.roster ^= recordHash(p.Member)
+		if p.Member.GetState() != wire.State_ALIVE || !p.Hold.IsZero() {
+			v.unsettled = append(v.unsettled, id)
+		}
 		if usable(p) && !now.Before(p.Hold) {
 			v.owners = append(v.owners, id)
 		}
 	}
 	sort.Strings(v.owners)
+	sort.Strings(v.unsettled)
+	if v.roster != before {
+		v.rosterAt = now
+	}
 	v.around = neighbours(v.self, v.peers)
 }
 
+// Hashes a whole record, so that equal changes to two members do not cancel
+// each other out in the exclusive or of all of them.
 func recordHash(m *wire.Member) uint64 {
-	var buf [9]byte
-	binary.LittleEndian.PutUint64(buf[:], m.GetIncarnation())
-	buf[8] = byte(m.GetState())
-	return xxhash.Sum64String(m.GetId()) ^ xxhash.Sum64(buf[:])*31
+	buf := make([]byte, 0, 64)
+	buf = append(buf, m.GetId()...)
+	buf = binary.LittleEndian.AppendUint64(buf, m.GetIncarnation())
+	buf = append(buf, byte(m.GetState()))
+	return xxhash.Sum64(buf)
 }
--- a/member/step.go
+++ b/member/step.go
@@ -257,7 +257,7 @@
 }
 
 func (d *draft) checkSuspects() {
-	for _, id := range sortedKeys(d.peers) {
+	for _, id := range d.unsettled {
 		p := d.peers[id]
 		age := d.now.Sub(p.Since)
 		switch {
@@ -321,9 +321,10 @@
 }
 
 func (d *draft) ping(from string, p *wire.Ping) {
+	_, known := d.peers[from]
 	d.learnAll(p.GetNews())
-	ack := &wire.Ack{Seq: p.GetSeq(), News: d.news, Roster: d.roster}
-	if d.needsSync(from, p.GetRoster()) {
+	ack := &wire.Ack{Seq: p.GetSeq(), Roster: d.roster, News: d.doubts(from)}
+	if !known || d.needsSync(from, p.GetRoster()) {
 		ack.News = d.all()
 	}
 	d.send(from, &wire.Frame{Body: &wire.Frame_Ack{Ack: ack}})
@@ -340,9 +341,22 @@
 		about = a.GetAbout()
 	}
 	delete(d.probes, about)
-	if d.needsSync(from, a.GetRoster()) {
+	switch doubts := d.doubts(from); {
+	case d.needsSync(from, a.GetRoster()):
 		d.sendPing(from, d.all())
+	case len(doubts) > 0:
+		d.sendPing(from, doubts)
+	}
+}
+
+// Returns the record of a member that is heard although it is held to be
+// suspect or dead, so that it learns of it and refutes.
+func (d *draft) doubts(from string) []*wire.Member {
+	p, ok := d.peers[from]
+	if !ok || p.Member.GetState() == wire.State_ALIVE {
+		return nil
 	}
+	return []*wire.Member{p.Member}
 }
 
 func (d *draft) learnAll(news []*wire.Member) {
@@ -351,9 +365,10 @@
 	}
 }
 
-// Reports whether a full exchange with a node whose list differs is due.
+// Reports whether a full exchange with a node whose list differs is due. A
+// list that changed just now differs while the news is on its way.
 func (d *draft) needsSync(id string, roster uint64) bool {
-	if roster == d.currentRoster() || d.now.Sub(d.lastSync[id]) < syncPeriod {
+	if roster == d.currentRoster() || d.now.Sub(d.rosterAt) < settleTime || d.now.Sub(d.lastSync[id]) < syncPeriod {
 		return false
 	}
 	d.lastSync[id] = d.now
