--- a/admit/admit.go
+++ b/admit/admit.go
@@ -29,15 +29,17 @@
 )
 
 const (
-	maxQueue       = 5000             // requests waiting in one shard
-	entryTimeout   = 6 * time.Second  // a request that its entry node no longer repeats
-	runningTimeout = 5 * time.Second  // a place that its entry node no longer reports
-	failureHold    = time.Second      // first rest of an endpoint that failed
-	maxFailureHold = 30 * time.Second //
-	leavingHold    = time.Minute      // rest of an endpoint that said it is leaving
-	lookahead      = 16               // queued requests considered behind one that does not fit
-	firstOutput    = 256              // expected output without experience, tokens
-	overloadRetry  = 2 * time.Second  // advice to a request that is shed
+	maxQueue       = 5000                    // requests waiting in one shard
+	entryTimeout   = 6 * time.Second         // a request that its entry node no longer repeats
+	runningTimeout = 5 * time.Second         // a place that its entry node no longer reports
+	failureHold    = time.Second             // first rest of an endpoint that failed
+	maxFailureHold = 30 * time.Second        //
+	leavingHold    = time.Minute             // rest of an endpoint that said it is leaving
+	lookahead      = 16                      // queued requests considered behind one that does not fit
+	firstOutput    = 256                     // expected output without experience, tokens
+	overloadRetry  = 2 * time.Second         // advice to a request that is shed
+	settleTime     = 1200 * time.Millisecond // a new owner waits for reports before it grants
+	learnTime      = 6 * time.Second         // a new owner counts running requests that it does not know
 )
 
 var handle kernel.Handle[*Book]
@@ -81,6 +83,7 @@
 	service string
 	index   int
 	seq     uint64
+	since   time.Time // when this node first heard of the shard
 	queue   *immutable.SortedMap[place, waiting]
 	places  *immutable.Map[string, place] // place in the queue, by request
 	granted *immutable.Map[string, granted]
@@ -128,12 +131,16 @@
 	memory   int // tokens
 	failures int // in a row
 	rest     time.Time
+	reported bool // the endpoint has reported its load to this owner
+	strange  int  // requests that run there and are unknown to a new owner
+	stranger int  // memory that they hold, tokens
 }
 
-func newShard(service string, index int) *Shard {
+func newShard(now time.Time, service string, index int) *Shard {
 	return &Shard{
 		service: service,
 		index:   index,
+		since:   now,
 		queue:   immutable.NewSortedMap[place, waiting](byPlace{}),
 		places:  immutable.NewMap[string, place](nil),
 		granted: immutable.NewMap[string, granted](nil),
--- a/admit/place.go
+++ b/admit/place.go
@@ -17,6 +17,9 @@
 
 // Grants places to queued requests until none fits any more.
 func (sh *Shard) fill(now time.Time, endpoints []spec.Endpoint) (*Shard, []kernel.Effect) {
+	if sh.queue.Len() == 0 || !sh.settled(now, endpoints) {
+		return sh, nil
+	}
 	next := sh
 	var effects []kernel.Effect
 	misses := 0
@@ -49,6 +52,30 @@
 	return kept
 }
 
+// Reports whether a new owner knows what runs already: every engine has
+// reported its load, or the entry nodes have had time to report their requests.
+func (sh *Shard) settled(now time.Time, endpoints []spec.Endpoint) bool {
+	if now.Sub(sh.since) >= settleTime {
+		return true
+	}
+	for _, e := range endpoints {
+		if u, _ := sh.used.Get(e.Name); e.Memory > 0 && !u.reported {
+			return false
+		}
+	}
+	return true
+}
+
+// Returns what an endpoint holds, with what a new owner does not know by name.
+func (sh *Shard) load(now time.Time, endpoint string) usage {
+	u, _ := sh.used.Get(endpoint)
+	if now.Sub(sh.since) < learnTime {
+		u.slots += u.strange
+		u.memory += u.stranger
+	}
+	return u
+}
+
 func grantEffect(g granted) kernel.Effect {
 	return kernel.Send{To: g.entry, Frame: &wire.Frame{Body: &wire.Frame_Grant{Grant: &wire.Grant{
 		Request:  g.ask.GetRequest(),
@@ -65,7 +92,7 @@
 	favourite := cachedAt(endpoints, a.GetPrefix())
 	best, bestScore, found := spec.Endpoint{}, 0.0, false
 	for _, e := range endpoints {
-		u, _ := sh.used.Get(e.Name)
+		u := sh.load(now, e.Name)
 		if now.Before(u.rest) || avoided(a, e.Name) || !fits(u, e, a) {
 			continue
 		}
--- a/admit/step.go
+++ b/admit/step.go
@@ -70,7 +70,7 @@
 	key := shard.Key(service, int(index))
 	sh, ok := b.shards[key]
 	if !ok {
-		sh = newShard(service, int(index))
+		sh = newShard(now, service, int(index))
 	}
 	next, effects := change(sh).fill(now, b.usable(endpoints(s, service, int(index))))
 	return b.with(key, next), effects
@@ -88,7 +88,7 @@
 	key := shard.Key(a.GetService(), int(a.GetShard()))
 	sh, ok := b.shards[key]
 	if !ok {
-		sh = newShard(a.GetService(), int(a.GetShard()))
+		sh = newShard(now, a.GetService(), int(a.GetShard()))
 	}
 	if g, ok := sh.granted.Get(a.GetRequest()); ok {
 		return b, []kernel.Effect{grantEffect(g)}
@@ -165,7 +165,11 @@
 			next = next.withProgress(g, int(r.GetTokens()), now)
 		case !known && r.GetAsk() != nil:
 			g = granted{ask: r.GetAsk(), entry: from, endpoint: r.GetEndpoint(), tokens: int(r.GetTokens()), seen: now}
-			next = next.withoutWaiting(r.GetRequest()).withGranted(g)
+			next = next.withoutWaiting(r.GetRequest()).withGranted(g).withUsage(g.endpoint, func(u usage) usage {
+				u.strange = max(0, u.strange-1)
+				u.stranger = max(0, u.stranger-int(g.ask.GetPrompt())-g.tokens)
+				return u
+			})
 		}
 	}
 	return next
@@ -211,11 +215,9 @@
 	return next, effects
 }
 
-// Takes in an engine's own report, which may say that it is leaving.
+// Takes in an engine's own report, which may say that it is leaving, and tells
+// a new owner how much runs there that it does not know of yet.
 func (b *Book) loaded(now time.Time, e kernel.LoadRead) *Book {
-	if !e.Load.Leaving {
-		return b
-	}
 	next := b
 	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
 		sh := b.shards[key]
@@ -223,7 +225,14 @@
 			continue
 		}
 		next = next.with(key, sh.withUsage(e.Endpoint, func(u usage) usage {
-			u.rest = now.Add(leavingHold)
+			u.reported = true
+			if e.Load.Leaving {
+				u.rest = now.Add(leavingHold)
+			}
+			if now.Sub(sh.since) < learnTime {
+				u.strange = max(0, e.Load.Running+e.Load.Waiting-u.slots)
+				u.stranger = max(0, e.Load.Used-u.memory)
+			}
 			return u
 		}))
 	}
@@ -231,12 +240,13 @@
 }
 
 // Asks for the load of the engines that this node admits to, when they have
-// changed.
+// changed. A node that stands in for an owner has a queue too.
 func (b *Book) watch(s kernel.State) (*Book, []kernel.Effect) {
 	var targets []kernel.Target
 	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
 		sh := b.shards[key]
-		if first, _ := owner.Pick(key, member.Of(s).Owners()); first != s.Config.Self.GetId() {
+		first, _ := owner.Pick(key, member.Of(s).Owners())
+		if first != s.Config.Self.GetId() && sh.queue.Len() == 0 {
 			continue
 		}
 		for _, e := range endpoints(s, sh.service, sh.index) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -194,6 +194,7 @@
 		d.mu.Lock()
 		d.watched = f.Endpoints
 		d.mu.Unlock()
+		d.jobs.Go(func() { d.readAllLoads(ctx) })
 	case kernel.Record:
 		d.cfg.Trace.Add(now, trace.Entry{
 			Kind: f.Kind, Request: f.Request, Workspace: f.Workspace, Endpoint: f.Endpoint, Detail: f.Detail,
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -82,16 +82,18 @@
 
 // Reads the load of the engines that this node admits to.
 func (d *Daemon) readLoads(ctx context.Context) <-chan error {
-	return every(ctx, loadPeriod, func() {
-		d.mu.Lock()
-		targets := d.watched
-		d.mu.Unlock()
-		var reads sync.WaitGroup
-		for _, t := range targets {
-			reads.Go(func() { d.readLoad(ctx, t) })
-		}
-		reads.Wait()
-	})
+	return every(ctx, loadPeriod, func() { d.readAllLoads(ctx) })
+}
+
+func (d *Daemon) readAllLoads(ctx context.Context) {
+	d.mu.Lock()
+	targets := d.watched
+	d.mu.Unlock()
+	var reads sync.WaitGroup
+	for _, t := range targets {
+		reads.Go(func() { d.readLoad(ctx, t) })
+	}
+	reads.Wait()
 }
 
 func (d *Daemon) readLoad(ctx context.Context, t kernel.Target) {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -24,7 +24,7 @@
 
 const (
 	maxPlugins = 16
-	maxRaised  = 1000 // events raised within one Step
+	maxRaised  = 100_000 // events raised within one Step
 )
 
 // Config is what a node knows of itself from its settings.
--- a/route/owner.go
+++ b/route/owner.go
@@ -73,11 +73,13 @@
 
 func (t *Table) tick(now time.Time, s kernel.State) (*Table, []kernel.Effect) {
 	next, effects := t.checkPending(now, s)
-	if now.Sub(t.reported) < progressPeriod {
+	owners := member.Of(s).Owners()
+	if now.Sub(t.reported) < progressPeriod && slices.Equal(owners, t.owners) {
 		return next, effects
 	}
 	reported, reports := next.report(s)
 	reported.reported = now
+	reported.owners = owners
 	return reported, append(effects, reports...)
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -56,6 +56,7 @@
 	pending  *immutable.Map[string, pending]
 	running  *immutable.Map[string, running]
 	reported time.Time
+	owners   []string // members that could own something at the last report
 	stopping bool
 }
 
