--- a/client/chat.go
+++ b/client/chat.go
@@ -81,12 +81,7 @@
 	started := false
 	err = c.each(ctx, r, func(addr string) error {
 		node = addr
-		resp := &fasthttp.Response{StreamBody: true}
-		defer func() { _ = resp.CloseBodyStream() }()
-		if err := c.send(addr, r, resp); err != nil {
-			return err
-		}
-		err := readTokens(addr, resp.BodyStream(), func(t Token) error {
+		err := c.Direct(ctx, addr, chat, func(t Token) error {
 			started = true
 			return take(t)
 		})
@@ -103,6 +98,24 @@
 	return node, err
 }
 
+// Direct sends a chat request to one given address, once, and gives each token
+// to take. The address may be an engine's.
+func (c *Client) Direct(ctx context.Context, addr string, chat Chat, take func(t Token) error) error {
+	r, err := chat.request(true)
+	if err != nil {
+		return err
+	}
+	resp := &fasthttp.Response{StreamBody: true}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if err := c.send(addr, r, resp); err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return readTokens(addr, resp.BodyStream(), take)
+}
+
 // finalError is an error after which a request must not be sent again.
 type finalError struct {
 	err error
--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,7 @@
 	dialTimeout    = 2 * time.Second
 	addressTimeout = 3 * time.Second
 	maxTries       = 6
+	maxConns       = 16384
 	retryPause     = 200 * time.Millisecond
 )
 
@@ -34,11 +36,11 @@
 	Key    string   // workspace key, or an operator's
 }
 
-// Client sends requests. It may be used by several goroutines, but its address
-// list is refreshed by one at a time.
+// Client sends requests. It may be used by several goroutines.
 type Client struct {
 	cfg   Config
 	http  *fasthttp.Client
+	mu    sync.Mutex
 	list  []string
 	until time.Time
 }
@@ -48,6 +50,7 @@
 	return &Client{cfg: cfg, http: &fasthttp.Client{
 		Dial:                     dial,
 		NoDefaultUserAgentHeader: true,
+		MaxConnsPerHost:          maxConns,
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
@@ -73,6 +76,8 @@
 
 // Addresses returns the addresses to use at the time now, the best first.
 func (c *Client) Addresses(now time.Time) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if now.Before(c.until) && len(c.list) > 0 {
 		return c.list, nil
 	}
@@ -92,6 +97,8 @@
 
 // Forget drops an address that failed, until the list is asked for again.
 func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	kept := make([]string, 0, len(c.list))
 	for _, a := range c.list {
 		if a != addr {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin runs the stand-ins for the systems around a deployment.
+// Command standin runs the stand-ins for the systems around a deployment, and
+// comparisons over them.
 package main
 
 import (
@@ -6,10 +7,13 @@
 	"os"
 
 	"github.com/plantaindeck/plantaindeck/fakes"
+	"github.com/plantaindeck/plantaindeck/trial"
 )
 
 func main() {
-	if err := fakes.Root().Execute(); err != nil {
+	root := fakes.Root()
+	root.AddCommand(trial.Command())
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "Error:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmds/load.go
@@ -0,0 +1,119 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/client"
+	"github.com/plantaindeck/plantaindeck/load"
+	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/spf13/cobra"
+)
+
+const (
+	progressPeriod = 5 * time.Second
+	keySuffix      = "-demo-key"
+)
+
+// loadSettings are the settings of the load command.
+type loadSettings struct {
+	remote
+	document string
+	service  string
+	mix      string
+	rate     float64
+	duration time.Duration
+	drain    time.Duration
+	seed     uint64
+	suffix   string
+	json     bool
+}
+
+func loadCommand() *cobra.Command {
+	var s loadSettings
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Drive a deployment with seeded arrivals and measure what callers see",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			plan, clients, err := s.plan()
+			if err != nil {
+				return &usageError{err}
+			}
+			return s.run(cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr(), plan, clients)
+		},
+	}
+	s.bind(cmd)
+	f := cmd.Flags()
+	f.StringVar(&s.document, "document", "examples/omaheke.yaml", "file that names the workspaces and their shares")
+	f.StringVar(&s.service, "service", "llm-desk", "model service to send to")
+	f.StringVar(&s.mix, "mix", load.Omaheke.Name, "workload: omaheke or kalamata")
+	f.Float64Var(&s.rate, "rate", 10, "requests a second")
+	f.DurationVar(&s.duration, "duration", 30*time.Second, "time in which requests arrive")
+	f.DurationVar(&s.drain, "drain", 30*time.Second, "longest wait for the last answers")
+	f.Uint64Var(&s.seed, "seed", 1, "seed of the arrivals")
+	f.StringVar(&s.suffix, "suffix", keySuffix, "a workspace's key is its name and this")
+	f.BoolVar(&s.json, "json", false, "print JSON")
+	return cmd
+}
+
+// Reads the document and draws up the plan, with a client for each workspace.
+func (s *loadSettings) plan() (load.Plan, []*client.Client, error) {
+	if len(s.nodes) == 0 {
+		return load.Plan{}, nil, errors.New("--nodes: must name at least one node, as IP number and port")
+	}
+	if s.rate <= 0 || s.duration <= 0 {
+		return load.Plan{}, nil, errors.New("--rate and --duration: must be more than 0")
+	}
+	mix, ok := map[string]load.Mix{load.Omaheke.Name: load.Omaheke, load.Kalamata.Name: load.Kalamata}[s.mix]
+	if !ok {
+		return load.Plan{}, nil, errors.Errorf("--mix: must be omaheke or kalamata, not %q", s.mix)
+	}
+	text, err := os.ReadFile(s.document)
+	if err != nil {
+		return load.Plan{}, nil, errors.Wrap(err, "read document")
+	}
+	doc, err := spec.Parse(text)
+	if err != nil {
+		return load.Plan{}, nil, err
+	}
+	plan := load.Plan{Mix: mix, Rate: s.rate, Duration: s.duration, Seed: s.seed}
+	var clients []*client.Client
+	for _, w := range doc.Workspaces {
+		plan.Workspaces = append(plan.Workspaces, float64(w.Share))
+		clients = append(clients, client.New(client.Config{Nodes: s.nodes, Centre: s.centre, Key: w.Name + s.suffix}))
+	}
+	return plan, clients, nil
+}
+
+func (s *loadSettings) run(ctx context.Context, out, log io.Writer, plan load.Plan, clients []*client.Client) error {
+	last := time.Now()
+	run := load.Run{
+		Plan:     plan,
+		Arrivals: plan.Arrivals(),
+		Target:   load.Nodes{Clients: clients, Service: s.service},
+		Drain:    s.drain,
+		Limit:    load.GapLimit,
+		Progress: func(done, all int) {
+			if time.Since(last) >= progressPeriod {
+				last = time.Now()
+				fmt.Fprintf(log, "%d of %d requests sent\n", done, all)
+			}
+		},
+	}
+	var list []load.Summary
+	for i, r := range run.Do(ctx) {
+		list = append(list, r.Summary("plantaindeck", plan.Seed, plan.Mix.Kinds[i].Name, plan.Duration.Seconds()))
+	}
+	if s.json {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(list)
+	}
+	return load.Table(out, list)
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -51,7 +51,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.AddCommand(nodeCommand(), callCommand(), applyCommand(), getCommand(), diffCommand(),
-		historyCommand(), statusCommand(), timelineCommand(), hashCommand())
+		historyCommand(), statusCommand(), timelineCommand(), hashCommand(), loadCommand())
 	return root
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -270,7 +270,7 @@
 		d := start(t, local.Config{Nodes: 1, Engines: 2})
 		killed := make(chan error, 1)
 		go func() { killed <- killBusy(d) }()
-		body := `{"model":"llm","service_tier":"report","messages":[{"role":"user","content":"[[tokens:600]]"}]}`
+		body := `{"model":"llm","service_tier":"whole","messages":[{"role":"user","content":"[[tokens:600]]"}]}`
 		status, answer, _ := do(t, d.Front(0), request{"POST", "/v1/chat/completions", "w1-key", body, nil})
 		qt.Assert(t, <-killed, qt.IsNil)
 		qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%s", answer))
--- a/local/local.go
+++ b/local/local.go
@@ -131,6 +131,17 @@
 	return nil
 }
 
+// localClasses are the classes of the service llm: those of both examples, and
+// whole, whose replies are held back.
+const localClasses = `    classes:
+      - {name: lookup, priority: 80, deadline: 60s}
+      - {name: summary, priority: 20, deadline: 120s}
+      - {name: question, priority: 70, deadline: 60s}
+      - {name: report, priority: 40, deadline: 120s}
+      - {name: whole, priority: 40, whole: true, deadline: 120s}
+    endpoints:
+`
+
 // Returns the text of the deployment's document.
 func (d *Deployment) document() string {
 	var b strings.Builder
@@ -139,9 +150,7 @@
 	if len(d.Engines) > 0 {
 		fmt.Fprintf(&b, "  - name: llm\n    kind: model\n    models: [{name: m, version: 1}]\n")
 		fmt.Fprintf(&b, "    weigh: {gap: %d, stall: %d, preempt: %d}\n", w.Gap, w.Stall, w.Preempt)
-		fmt.Fprintf(&b, "    classes:\n      - {name: lookup, priority: 80, deadline: 60s}\n")
-		fmt.Fprintf(&b, "      - {name: summary, priority: 20, deadline: 120s}\n")
-		fmt.Fprintf(&b, "      - {name: report, priority: 20, whole: true, deadline: 120s}\n    endpoints:\n")
+		fmt.Fprint(&b, localClasses)
 	}
 	for i, e := range d.Engines {
 		fmt.Fprintf(&b, "      - {name: e%d, addr: %q, centre: %s, memory: %d, slots: %d}\n", i+1, e.Addr(), centre(i), d.cfg.Engine.Memory, d.cfg.Engine.Slots)
