--- a/front/front_test.go
+++ b/front/front_test.go
@@ -295,3 +295,17 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// The capacity page counts on two writes an order.
+func TestWritesOfAnOrder(t *testing.T) {
+	const orders = 10
+	d := start(t, local.Config{Nodes: 1, Services: 1})
+	before := d.KV.Counts().Writes
+	for i := range orders {
+		order := request{"POST", "/v1/services/orders/orders", "w1-key", `{}`, map[string]string{"Idempotency-Key": fmt.Sprint(i)}}
+		status, _, _ := do(t, d.Front(0), order)
+		qt.Assert(t, status, qt.Equals, 200)
+	}
+	qt.Assert(t, d.StopNode(0), qt.IsNil)
+	qt.Assert(t, d.KV.Counts().Writes-before, qt.Equals, 2*orders)
+}
