Reattach to a stream through any node; end streams that cannot go on

Cause: a stream ended with its node. The caller now keeps a signed token of engine, generation and request, and any node goes on after the event it names; no node keeps state for it. The client does so by itself.

Found by killing the node of a running stream, with its connections: - a node that was stopped cancelled the generations of callers that had just left it; it now leaves them to be resumed, or to the engine's own timeout; - a stream of a cancelled generation reconnected for ever, since each reconnection was accepted and sent nothing. Six tries without a token now end it with an error event.

--- a/client/chat.go
+++ b/client/chat.go
@@ -69,61 +69,67 @@
 	return c.Do(ctx, r)
 }
 
-// Stream sends a chat request and gives each token to take as it comes. It
-// returns the address of the node that answered. An error is an *apierr.Error,
+// Stream sends a chat request and gives each token to take as it comes, each
+// once and in order. If the connection breaks it goes on with the same answer
+// through any node. It returns the address of the node that answered last. An error is an *apierr.Error,
 // or the one that take returned.
 func (c *Client) Stream(ctx context.Context, chat Chat, take func(t Token) error) (string, error) {
 	r, err := chat.request(true)
 	if err != nil {
 		return "", err
 	}
-	var node string
-	started := false
+	st := &stream{take: take}
 	err = c.each(ctx, r, func(addr string) error {
-		node = addr
-		err := c.Direct(ctx, addr, chat, func(t Token) error {
-			started = true
-			return take(t)
-		})
-		if err != nil && started {
-			// The tokens that came belong to a generation that is gone.
-			return &finalError{err}
-		}
-		return err
+		return c.try(ctx, addr, r, st)
 	})
-	var final *finalError
-	if errors.As(err, &final) {
-		return node, final.err
-	}
-	return node, err
+	return st.node, err
 }
 
-// Direct sends a chat request to one given address, once, and gives each token
-// to take. The address may be an engine's.
-func (c *Client) Direct(ctx context.Context, addr string, chat Chat, take func(t Token) error) error {
-	r, err := chat.request(true)
-	if err != nil {
+// stream is how far a streamed answer has come, over several connections.
+type stream struct {
+	take  func(t Token) error
+	node  string // that answered last
+	token string // for reattaching; empty before the first answer
+	last  string // id of the last event
+}
+
+// Sends a request, or goes on with its answer if that has begun.
+func (c *Client) try(ctx context.Context, addr string, r Request, st *stream) error {
+	if err := ctx.Err(); err != nil {
 		return err
 	}
 	resp := &fasthttp.Response{StreamBody: true}
 	defer func() { _ = resp.CloseBodyStream() }()
+	if st.last != "" && st.token == "" {
+		// The tokens that came belong to an answer that cannot be gone on with.
+		return apierr.Unknown(0, apierr.CodeLost, "the answer broke off").WithOutcome(apierr.OutcomeRan)
+	}
+	if st.token != "" {
+		r = Request{Method: fasthttp.MethodGet, Path: "/v1/streams/" + st.token, Last: st.last}
+	}
 	if err := c.send(addr, r, resp); err != nil {
 		return err
 	}
-	if err := ctx.Err(); err != nil {
-		return err
+	st.node = addr
+	if token := string(resp.Header.Peek("X-Reattach")); token != "" {
+		st.token = token
 	}
-	return readTokens(addr, resp.BodyStream(), take)
+	return readTokens(addr, resp.BodyStream(), func(t Token) error {
+		st.last = t.ID
+		return st.take(t)
+	})
 }
 
-// finalError is an error after which a request must not be sent again.
-type finalError struct {
-	err error
+// Direct sends a chat request to one given address, once, and gives each token
+// to take. The address may be an engine's.
+func (c *Client) Direct(ctx context.Context, addr string, chat Chat, take func(t Token) error) error {
+	r, err := chat.request(true)
+	if err != nil {
+		return err
+	}
+	return c.try(ctx, addr, r, &stream{take: take})
 }
 
-// Error returns the cause's text.
-func (e *finalError) Error() string { return e.err.Error() }
-
 // chunk is the part of a chat.completion.chunk that the client reads.
 type chunk struct {
 	Choices []struct {
--- a/client/client.go
+++ b/client/client.go
@@ -134,6 +134,7 @@
 	Key        string // idempotency key
 	Idempotent bool   // may be sent again whatever became of it
 	Body       []byte
+	Last       string // id of the last event of a stream that is gone on with
 	Timeout    time.Duration
 }
 
@@ -214,9 +215,10 @@
 	case apierr.CodeUnavailable, apierr.CodeOverload, apierr.CodeInProgress:
 		return e.Outcome == apierr.OutcomeNotRun || r.Idempotent || r.Key != ""
 	case apierr.CodeLost:
-		// A node reports this for a key whose outcome is settled as unknown;
-		// only a broken connection to the node itself may be tried again.
-		return e.Outcome == apierr.OutcomeNotRun || r.Idempotent || r.Key != "" && e.Status == 0
+		// A node reports this for a key whose outcome is settled as unknown, and
+		// for a stream whose generation is gone; a broken connection to the node
+		// itself may be tried again.
+		return e.Outcome == apierr.OutcomeNotRun || e.Outcome == apierr.OutcomeUnknown && (r.Idempotent || r.Key != "" && e.Status == 0)
 	}
 	return false
 }
@@ -230,6 +232,9 @@
 	if r.Key != "" {
 		req.Header.Set("Idempotency-Key", r.Key)
 	}
+	if r.Last != "" {
+		req.Header.Set("Last-Event-ID", r.Last)
+	}
 	if len(r.Body) > 0 {
 		req.Header.SetContentType("application/json")
 		req.SetBody(r.Body)
--- /dev/null
+++ b/fakes/listen.go
@@ -0,0 +1,78 @@
+package fakes
+
+import (
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Listener knows its open connections, so that a crash can break them.
+type Listener struct {
+	net.Listener
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	killed bool
+}
+
+// Listen opens a listener.
+func Listen(addr string) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", addr)
+	}
+	return &Listener{Listener: ln, conns: map[net.Conn]bool{}}, nil
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.killed {
+		return nil, errors.Wrap(c.Close(), "stand-in was killed")
+	}
+	l.conns[c] = true
+	return &trackedConn{Conn: c, listener: l}, nil
+}
+
+// Kill takes no more connections and breaks the open ones.
+func (l *Listener) Kill() error {
+	l.mu.Lock()
+	l.killed = true
+	l.mu.Unlock()
+	err := l.Listener.Close()
+	l.Cut()
+	return err
+}
+
+// Cut breaks every open connection.
+func (l *Listener) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			// A reset, as from a host whose process is gone.
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+		delete(l.conns, c)
+	}
+}
+
+// trackedConn tells its listener when it is closed.
+type trackedConn struct {
+	net.Conn
+	listener *Listener
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c.Conn)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -60,6 +60,7 @@
 	Request    string `json:"request"`
 	State      string `json:"state"` // waiting, running, done, cancelled or unknown
 	Tokens     int    `json:"tokens"`
+	Readers    int    `json:"readers"`
 }
 
 func (e *Engine) serve(ctx *fasthttp.RequestCtx) {
@@ -346,7 +347,7 @@
 }
 
 func (g *generation) describe() GenerationState {
-	return GenerationState{Generation: g.id, Request: g.request, State: string(g.state), Tokens: g.tokens}
+	return GenerationState{Generation: g.id, Request: g.request, State: string(g.state), Tokens: g.tokens, Readers: g.readers}
 }
 
 // Tells about a request, or cancels it even before it has come.
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -10,17 +10,15 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
 // Server is a running stand-in.
 type Server struct {
-	listener *trackedListener
+	listener *Listener
 	http     *fasthttp.Server
 	done     chan error
 	stop     context.CancelFunc
@@ -32,13 +30,13 @@
 // Starts a stand-in on addr; port 0 takes a free port. Work runs until the
 // server is closed, and may be nil.
 func start(addr string, handler fasthttp.RequestHandler, work func(ctx context.Context)) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := Listen(addr)
 	if err != nil {
-		return nil, errors.Wrapf(err, "stand-in listens on %s", addr)
+		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
-		listener: &trackedListener{Listener: ln, conns: map[net.Conn]bool{}},
+		listener: ln,
 		http:     &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, Logger: quiet{}},
 		done:     make(chan error, 2),
 		stop:     stop,
@@ -70,73 +68,13 @@
 func (s *Server) Kill() error {
 	s.killed.Do(func() {
 		s.stop()
-		s.killErr = s.listener.kill()
+		s.killErr = s.listener.Kill()
 		<-s.done
 		<-s.done
 	})
 	return s.killErr
 }
 
-// trackedListener knows its open connections, so that a crash can break them.
-type trackedListener struct {
-	net.Listener
-	mu     sync.Mutex
-	conns  map[net.Conn]bool
-	killed bool
-}
-
-// Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.killed {
-		return nil, errors.Wrap(c.Close(), "stand-in was killed")
-	}
-	l.conns[c] = true
-	return &trackedConn{Conn: c, listener: l}, nil
-}
-
-func (l *trackedListener) kill() error {
-	l.mu.Lock()
-	l.killed = true
-	l.mu.Unlock()
-	err := l.Listener.Close()
-	l.cut()
-	return err
-}
-
-// Breaks every open connection.
-func (l *trackedListener) cut() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			// A reset, as from a host whose process is gone.
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-		delete(l.conns, c)
-	}
-}
-
-// trackedConn tells its listener when it is closed.
-type trackedConn struct {
-	net.Conn
-	listener *trackedListener
-}
-
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c.Conn)
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // Writes v as the response in JSON.
 func reply(ctx *fasthttp.RequestCtx, status int, v any) {
 	data, err := json.Marshal(v)
--- /dev/null
+++ b/front/attach_test.go
@@ -0,0 +1,135 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/client"
+	"github.com/plantaindeck/plantaindeck/local"
+	"github.com/valyala/fasthttp"
+)
+
+// Asserts that event ids are of one generation, from 0 on, without a gap.
+func assertIDs(t *testing.T, ids []string, n int) {
+	t.Helper()
+	qt.Assert(t, len(ids), qt.Equals, n)
+	gen, _, _ := strings.Cut(ids[0], "/")
+	for i, id := range ids {
+		qt.Assert(t, id, qt.Equals, fmt.Sprintf("%s/%d", gen, i))
+	}
+}
+
+func TestStreamOutlivesItsNode(t *testing.T) {
+	const tokens = 400
+	d := start(t, local.Config{Nodes: 3, Engines: 1})
+	var ids []string
+	killed := false
+	c := d.Client("w1")
+	_, err := c.Stream(context.Background(), client.Chat{Service: "llm", Prompt: fmt.Sprintf("[[tokens:%d]]", tokens)}, func(tok client.Token) error {
+		ids = append(ids, tok.ID)
+		if len(ids) < 50 || killed {
+			return nil
+		}
+		killed = true
+		for i, n := range d.Nodes {
+			if n.Daemon().Metrics().GetOrCreateCounter("plantaindeck_tokens_total").Get() > 0 {
+				return d.KillNode(i)
+			}
+		}
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, killed, qt.IsTrue)
+	assertIDs(t, ids, tokens)
+	qt.Assert(t, d.Engines[0].Counts().Started, qt.Equals, 1, qt.Commentf("no second generation may run"))
+}
+
+// Opens a stream, reads its first part and drops the connection. It returns the
+// reattach token and the ids that came.
+func openAndLeave(t *testing.T, d *local.Deployment, tokens int) (string, []string) {
+	t.Helper()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{StreamBody: true}
+	req.SetRequestURI("http://" + d.Front(0) + "/v1/chat/completions")
+	req.Header.SetMethod("POST")
+	req.Header.Set("Authorization", "Bearer w1-key")
+	req.SetBodyString(fmt.Sprintf(`{"model":"llm","stream":true,"messages":[{"role":"user","content":"[[tokens:%d]]"}]}`, tokens))
+	qt.Assert(t, (&fasthttp.Client{}).Do(req, resp), qt.IsNil)
+	qt.Assert(t, resp.StatusCode(), qt.Equals, 200)
+	buf := make([]byte, 2000)
+	n, err := resp.BodyStream().Read(buf)
+	qt.Assert(t, err, qt.IsNil)
+	events := strings.Split(string(buf[:n]), "\n\n")
+	var ids []string
+	for _, e := range events[:len(events)-1] {
+		id, _, _ := strings.Cut(strings.TrimPrefix(e, "id: "), "\n")
+		ids = append(ids, id)
+	}
+	qt.Assert(t, resp.CloseBodyStream(), qt.IsNil)
+	return string(resp.Header.Peek("X-Reattach")), ids
+}
+
+func TestReattach(t *testing.T) {
+	const tokens = 300
+	d := start(t, local.Config{Nodes: 2, Engines: 1})
+	token, ids := openAndLeave(t, d, tokens)
+	path := "/v1/streams/" + token
+	last := map[string]string{"Last-Event-ID": ids[len(ids)-1]}
+	flipped := path[:len(path)-3] + "xyz"
+	refused := []struct {
+		name   string
+		r      request
+		status int
+		code   apierr.Code
+	}{
+		{"another workspace", request{"GET", path, "w2-key", "", last}, 403, apierr.CodeForbidden},
+		{"no key", request{"GET", path, "", "", last}, 401, apierr.CodeUnauthorized},
+		{"changed signature", request{"GET", flipped, "w1-key", "", last}, 403, apierr.CodeForbidden},
+		{"no token", request{"GET", "/v1/streams/", "w1-key", "", last}, 403, apierr.CodeForbidden},
+		{"event of another stream", request{"GET", path, "w1-key", "", map[string]string{"Last-Event-ID": "e9.1/3"}}, 400, apierr.CodeBadRequest},
+	}
+	for _, test := range refused {
+		t.Run(test.name, func(t *testing.T) {
+			status, body, _ := do(t, d.Front(1), test.r)
+			assertError(t, status, body, test.status, test.code)
+		})
+	}
+	t.Run("through another node", func(t *testing.T) {
+		status, body, _ := do(t, d.Front(1), request{"GET", path, "w1-key", "", last})
+		qt.Assert(t, status, qt.Equals, 200)
+		events := strings.Split(strings.TrimSpace(string(body)), "\n\n")
+		for _, e := range events[:len(events)-1] {
+			id, _, _ := strings.Cut(strings.TrimPrefix(e, "id: "), "\n")
+			ids = append(ids, id)
+		}
+		assertIDs(t, ids, tokens)
+		qt.Assert(t, d.Engines[0].Counts().Started, qt.Equals, 1)
+	})
+}
+
+func TestStreamOfACancelledGenerationEnds(t *testing.T) {
+	d := start(t, local.Config{Nodes: 1, Engines: 1})
+	token, ids := openAndLeave(t, d, 16000)
+	gen, _, _ := strings.Cut(ids[0], "/")
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://" + d.Engines[0].Addr() + "/v1/generations/" + gen)
+	req.Header.SetMethod("DELETE")
+	qt.Assert(t, fasthttp.Do(req, resp), qt.IsNil)
+	status, body, _ := do(t, d.Front(0), request{"GET", "/v1/streams/" + token, "w1-key", "", nil})
+	qt.Assert(t, status, qt.Equals, 200)
+	qt.Assert(t, strings.Contains(string(body), "event: error"), qt.IsTrue)
+}
+
+func TestAbandonedStreamIsCancelled(t *testing.T) {
+	d := start(t, local.Config{Nodes: 1, Engines: 1})
+	openAndLeave(t, d, 16000)
+	deadline := time.Now().Add(30 * time.Second)
+	for d.Engines[0].Counts().Cancelled == 0 {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the generation was not cancelled"))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/front/chat.go
+++ b/front/chat.go
@@ -28,17 +28,18 @@
 // chat is a chat/completions request as the front understands it. Fields that
 // it does not know pass through to the engine.
 type chat struct {
-	id      string
-	service *spec.Service
-	class   *spec.Class
-	model   string
-	who     policy.Identity
-	caller  string
-	prompt  int // tokens
-	prefix  uint64
-	limit   int // tokens
-	stream  bool
-	fields  map[string]json.RawMessage
+	id          string
+	service     *spec.Service
+	serviceName string
+	class       *spec.Class
+	model       string
+	who         policy.Identity
+	caller      string
+	prompt      int // tokens
+	prefix      uint64
+	limit       int // tokens
+	stream      bool
+	fields      map[string]json.RawMessage
 }
 
 // chatFields is the part of the body that the front reads.
@@ -99,6 +100,7 @@
 		return nil, fail
 	}
 	c.service = svc
+	c.serviceName = name
 	if fail := c.pick(model, in.Tier); fail != nil {
 		return nil, fail
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -160,6 +160,8 @@
 		return f.serveAddresses(ctx)
 	case path == "/v1/chat/completions":
 		return f.serveChat(ctx)
+	case strings.HasPrefix(path, "/v1/streams/"):
+		return f.serveAttach(ctx, strings.TrimPrefix(path, "/v1/streams/"))
 	case strings.HasPrefix(path, "/v1/services/"):
 		return f.serveCall(ctx, strings.TrimPrefix(path, "/v1/services/"))
 	case strings.HasPrefix(path, "/v1/documents/"):
--- a/front/stream.go
+++ b/front/stream.go
@@ -69,22 +69,34 @@
 	if a.empty {
 		b.finish(kernel.Ended{Request: a.request})
 	}
+	token, err := f.sign(f.ticketFor(c, a, time.Now()))
+	if err != nil {
+		return asError(err)
+	}
+	ctx.Response.Header.Set(headerAttach, token)
+	f.stream(ctx, b)
+	return nil
+}
+
+// Makes b the response.
+func (f *Front) stream(ctx *fasthttp.RequestCtx, b *body) {
 	ctx.SetContentType(eventStream)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStream(b, -1)
-	return nil
 }
 
 // body is the streamed answer. The library reads it as fast as the caller
 // takes it, so a slow caller holds back the reading from the engine.
 type body struct {
-	front   *Front
-	chat    *chat
-	attempt attempt
-	meter   *meter
-	buf     bytes.Buffer
-	over    bool
-	closed  sync.Once
+	front    *Front
+	chat     *chat
+	attempt  attempt
+	meter    *meter
+	buf      bytes.Buffer
+	over     bool
+	attached bool // the place belongs to the node that began the stream
+	closed   sync.Once
 }
 
 // Read implements io.Reader. It waits for the next token.
@@ -126,8 +138,10 @@
 func (b *body) finish(e kernel.Ended) {
 	b.over = true
 	fmt.Fprintf(&b.buf, "data: [DONE]\n\n")
-	b.front.cfg.Daemon.Ended(e)
-	b.front.completed(b.chat.service.Name)
+	if !b.attached {
+		b.front.cfg.Daemon.Ended(e)
+	}
+	b.front.completed(b.chat.serviceName)
 	b.front.record(b.chat, "complete", "")
 }
 
@@ -155,8 +169,9 @@
 			return
 		}
 		b.front.record(b.chat, "caller-left", "")
-		b.front.cancel(b.attempt)
-		b.front.cfg.Daemon.Ended(kernel.Ended{Request: b.attempt.request, Tokens: b.meter.tokens})
+		if !b.attached {
+			b.front.await(b.attempt, b.meter.tokens)
+		}
 	})
 	return nil
 }
--- a/local/local.go
+++ b/local/local.go
@@ -57,6 +57,7 @@
 	Document string
 	cfg      Config
 	ips      []string
+	fronts   []*fakes.Listener // of the nodes, for callers
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -83,6 +84,7 @@
 	for range cfg.Nodes {
 		d.ips = append(d.ips, newIP())
 		d.Nodes = append(d.Nodes, nil)
+		d.fronts = append(d.fronts, nil)
 	}
 	d.listHosts()
 	for i := range cfg.Nodes {
@@ -235,7 +237,12 @@
 	if err := settings.Check(); err != nil {
 		return err
 	}
-	cfg := node.Config{Settings: settings, Now: time.Now()}
+	ln, err := fakes.Listen(settings.Front)
+	if err != nil {
+		return err
+	}
+	d.fronts[i] = ln
+	cfg := node.Config{Settings: settings, Now: time.Now(), Listen: func(string) (net.Listener, error) { return ln, nil }}
 	if d.cfg.Dial != nil {
 		cfg.Dial = func(ctx context.Context, to string) (net.Conn, error) { return d.cfg.Dial(ctx, settings.Peer, to) }
 	}
@@ -247,10 +254,18 @@
 	return nil
 }
 
+// CutCallers breaks every connection of callers to node i.
+func (d *Deployment) CutCallers(i int) {
+	d.fronts[i].Cut()
+}
+
 // KillNode ends node i as a crash would.
 func (d *Deployment) KillNode(i int) error {
 	n := d.Nodes[i]
 	d.Nodes[i] = nil
+	if err := d.fronts[i].Kill(); err != nil {
+		return err
+	}
 	return n.Kill()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,7 @@
 	Settings config.Node
 	Now      time.Time                                                // start, from which the incarnation is made
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // to other nodes; nil for TCP
+	Listen   func(addr string) (net.Listener, error)                  // for callers; nil for TCP
 }
 
 // Start starts a node. The settings must have passed Check.
@@ -56,7 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", settings.Front)
+	listen := cfg.Listen
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	ln, err := listen(settings.Front)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers on %s", settings.Front)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -18,7 +18,7 @@
 const (
 	resumeTries = 5
 	resumePause = 50 * time.Millisecond // before the second try; doubles
-	cancelTime  = 2 * time.Second
+	askTimeout  = 2 * time.Second
 	doneMark    = "[DONE]"
 )
 
@@ -141,12 +141,19 @@
 	if s.err != nil {
 		return Token{}, s.err
 	}
-	for {
+	// An endpoint may take each reconnection and still send nothing more, as for
+	// a generation that was cancelled.
+	for try := 1; ; try++ {
 		t, err := s.read()
 		if err == nil {
 			s.next++
 			return t, nil
 		}
+		if try > resumeTries {
+			s.err = &LostError{Addr: s.place.Addr, Err: err}
+			s.disconnect(err)
+			return Token{}, s.err
+		}
 		if errors.Is(err, io.EOF) {
 			s.disconnect(nil)
 			s.err = io.EOF
@@ -169,7 +176,7 @@
 		if err != nil {
 			return Token{}, err
 		}
-		gen, index, err := splitID(e.LastEventID)
+		gen, index, err := SplitID(e.LastEventID)
 		if err != nil {
 			return Token{}, err
 		}
@@ -187,8 +194,8 @@
 	}
 }
 
-// Splits an event id into generation and index.
-func splitID(id string) (string, int, error) {
+// SplitID splits an event id into generation and index.
+func SplitID(id string) (string, int, error) {
 	gen, text, ok := strings.Cut(id, "/")
 	if !ok {
 		return "", 0, errors.Errorf("event id %q has no index", id)
@@ -237,27 +244,41 @@
 	Generation string `json:"generation"`
 	State      string `json:"state"` // waiting, running, done, cancelled or unknown
 	Tokens     int    `json:"tokens"`
+	Readers    int    `json:"readers"` // connections that read it
+}
+
+// Over reports whether no more tokens follow.
+func (s State) Over() bool {
+	return s.State != "waiting" && s.State != "running"
+}
+
+// State asks an engine about a request.
+func (c *Client) State(place Place) (State, error) {
+	return c.ask(place.Addr, fasthttp.MethodGet, "/v1/requests/"+place.Request)
 }
 
 // Cancel ends a request on an engine, even one that has not come yet. The
 // state says how far it had come.
 func (c *Client) Cancel(place Place) (State, error) {
-	path := "/v1/requests/" + place.Request
 	if place.Generation != "" {
-		path = "/v1/generations/" + place.Generation
+		return c.ask(place.Addr, fasthttp.MethodDelete, "/v1/generations/"+place.Generation)
 	}
+	return c.ask(place.Addr, fasthttp.MethodDelete, "/v1/requests/"+place.Request)
+}
+
+func (c *Client) ask(addr, method, path string) (State, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + place.Addr + path)
-	req.Header.SetMethod(fasthttp.MethodDelete)
-	if err := c.host(place.Addr).DoTimeout(req, resp, cancelTime); err != nil {
-		return State{}, sendError(place.Addr, err)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	if err := c.host(addr).DoTimeout(req, resp, askTimeout); err != nil {
+		return State{}, sendError(addr, err)
 	}
 	var st State
 	if err := json.Unmarshal(resp.Body(), &st); err != nil {
-		return State{}, errors.Wrapf(err, "decode the answer of %s", place.Addr)
+		return State{}, errors.Wrapf(err, "decode the answer of %s", addr)
 	}
 	return st, nil
 }
