--- a/client/client.go
+++ b/client/client.go
@@ -178,10 +178,12 @@
 // another.
 func (c *Client) each(ctx context.Context, r Request, try func(addr string) error) error {
 	pause := retryPause
+	unsure := false
 	for n := 1; ; n++ {
 		addrs, err := c.Addresses(time.Now())
 		if err != nil {
-			return apierr.NotRun(fasthttp.StatusServiceUnavailable, apierr.CodeUnavailable, "%v", err)
+			e := apierr.NotRun(fasthttp.StatusServiceUnavailable, apierr.CodeUnavailable, "%v", err)
+			return overall(e, unsure)
 		}
 		err = try(addrs[0])
 		if err == nil {
@@ -192,8 +194,9 @@
 			return err
 		}
 		if !mayRepeat(r, e) || n == maxTries {
-			return e
+			return overall(e, unsure)
 		}
+		unsure = unsure || e.Outcome == apierr.OutcomeUnknown
 		if e.Code == apierr.CodeUnavailable || e.Code == apierr.CodeLost {
 			c.Forget(addrs[0])
 		}
@@ -202,13 +205,22 @@
 		}
 		select {
 		case <-ctx.Done():
-			return e
+			return overall(e, unsure)
 		case <-time.After(pause):
 		}
 		pause *= 2
 	}
 }
 
+// Returns the error of a request that was sent several times. That the last
+// try did not run says nothing of an earlier one that may have.
+func overall(e *apierr.Error, unsure bool) *apierr.Error {
+	if unsure && e.Outcome == apierr.OutcomeNotRun {
+		return e.WithOutcome(apierr.OutcomeUnknown)
+	}
+	return e
+}
+
 // Reports whether a request may be sent again after an error.
 func mayRepeat(r Request, e *apierr.Error) bool {
 	switch e.Code {
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -95,9 +95,10 @@
 	seq      int
 	prompt   int
 	prefix   uint64
-	length   int // tokens that it will have
-	tokens   int // tokens that it has
-	computed int // prompt and output tokens in memory
+	echo     string // text of each token; empty for words of the engine's
+	length   int    // tokens that it will have
+	tokens   int    // tokens that it has
+	computed int    // prompt and output tokens in memory
 	readers  int
 	idle     time.Time // when the last reader left
 	finished time.Time
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -153,6 +153,7 @@
 		prompt:   countTokens(prompt),
 		prefix:   xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)]),
 		length:   lengthOf(prompt, req.MaxTokens),
+		echo:     echoOf(prompt),
 		state:    genWaiting,
 		readers:  1,
 	}
@@ -182,7 +183,19 @@
 	return max(1, len(prompt)/bytesPerToken)
 }
 
-var lengthForm = regexp.MustCompile(`\[\[tokens:(\d+)\]\]`)
+// A prompt may say how long its answer will be, and that its tokens are to be a
+// word of the test's, by which the answer is known again.
+var (
+	lengthForm = regexp.MustCompile(`\[\[tokens:(\d+)\]\]`)
+	echoForm   = regexp.MustCompile(`\[\[echo:([a-z0-9-]+)\]\]`)
+)
+
+func echoOf(prompt string) string {
+	if m := echoForm.FindStringSubmatch(prompt); m != nil {
+		return m[1] + " "
+	}
+	return ""
+}
 
 // Returns how long the answer will be. A prompt may say so for a test; nobody
 // else knows in advance.
@@ -259,7 +272,7 @@
 			r.end = errCut
 			return
 		}
-		writeEvent(&r.buf, r.gen.id, r.sent, r.model)
+		writeEvent(&r.buf, r.gen, r.sent, r.model)
 	}
 	switch {
 	case state == genDone:
@@ -284,8 +297,12 @@
 	return g.tokens, g.state
 }
 
-func writeEvent(w io.Writer, id string, index int, model string) {
-	c := chunk{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []choice{{Delta: delta{Content: tokenText(id, index)}}}}
+func writeEvent(w io.Writer, g *generation, index int, model string) {
+	id, text := g.id, g.echo
+	if text == "" {
+		text = tokenText(id, index)
+	}
+	c := chunk{ID: id, Object: "chat.completion.chunk", Model: model, Choices: []choice{{Delta: delta{Content: text}}}}
 	data, err := json.Marshal(c)
 	if err != nil {
 		panic(err)
