--- a/cmds/load.go
+++ b/cmds/load.go
@@ -31,6 +31,7 @@
 	drain    time.Duration
 	seed     uint64
 	suffix   string
+	keys     []string
 	json     bool
 }
 
@@ -57,7 +58,8 @@
 	f.DurationVar(&s.duration, "duration", 30*time.Second, "time in which requests arrive")
 	f.DurationVar(&s.drain, "drain", 30*time.Second, "longest wait for the last answers")
 	f.Uint64Var(&s.seed, "seed", 1, "seed of the arrivals")
-	f.StringVar(&s.suffix, "suffix", keySuffix, "a workspace's key is its name and this")
+	f.StringVar(&s.suffix, "suffix", keySuffix, "a workspace's key is its name and this, unless --keys is given")
+	f.StringSliceVar(&s.keys, "keys", nil, "keys of the workspaces, in the order of the document")
 	f.BoolVar(&s.json, "json", false, "print JSON")
 	return cmd
 }
@@ -84,9 +86,13 @@
 	}
 	plan := load.Plan{Mix: mix, Rate: s.rate, Duration: s.duration, Seed: s.seed}
 	var clients []*client.Client
-	for _, w := range doc.Workspaces {
+	for i, w := range doc.Workspaces {
+		key := w.Name + s.suffix
+		if i < len(s.keys) {
+			key = s.keys[i]
+		}
 		plan.Workspaces = append(plan.Workspaces, float64(w.Share))
-		clients = append(clients, client.New(client.Config{Nodes: s.nodes, Centre: s.centre, Key: w.Name + s.suffix}))
+		clients = append(clients, client.New(client.Config{Nodes: s.nodes, Centre: s.centre, Key: key}))
 	}
 	return plan, clients, nil
 }
