Command engines to the models that documents want, under a lease and a fencing token

Cause: nothing loaded models, adapters or versions. One node holds a service's engines by a key bound to a lease; the store revision that created the key is the fencing token. A command goes out only while the hold outlasts its flight by the monotonic clock; for an engine that ignores tokens the next holder first waits out the former one's commands. One command at a time per service spares the weight store.

Shown by go test ./deploy: a holder that is paused, loses its lease to another and wakes sends nothing, with engines that check tokens and that ignore them; an outage of the key-value service stops commands.

--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,153 @@
+package deploy_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/deploy"
+	"github.com/plantaindeck/plantaindeck/fakes"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/policy"
+	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/plantaindeck/plantaindeck/store"
+	"github.com/plantaindeck/plantaindeck/wire"
+
+	_ "github.com/plantaindeck/plantaindeck/member"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestNext(t *testing.T) {
+	v := func(model, version string) deploy.Loaded { return deploy.Loaded{Model: model, Version: version} }
+	tests := []struct {
+		name           string
+		wanted, loaded []deploy.Loaded
+		kind, model    string
+	}{
+		{"all there", []deploy.Loaded{v("m", "1")}, []deploy.Loaded{v("m", "1")}, "", ""},
+		{"missing", []deploy.Loaded{v("m", "1")}, nil, "load", "m"},
+		{"old version", []deploy.Loaded{v("m", "2")}, []deploy.Loaded{v("m", "1")}, "load", "m"},
+		{"load before unload", []deploy.Loaded{v("n", "1")}, []deploy.Loaded{v("m", "1")}, "load", "n"},
+		{"no longer wanted", []deploy.Loaded{v("n", "1")}, []deploy.Loaded{v("m", "1"), v("n", "1")}, "unload", "m"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, _ := deploy.Next(test.wanted, test.loaded)
+			qt.Assert(t, c.Kind, qt.Equals, test.kind)
+			qt.Assert(t, c.Model, qt.Equals, test.model)
+		})
+	}
+}
+
+// rig is a key-value service and an engine, with runners of two nodes whose
+// clocks the test sets.
+type rig struct {
+	kv     *fakes.KV
+	engine *fakes.Engine
+	clocks [2]time.Time
+	nodes  [2]*deploy.Runner
+	store  *store.Client
+}
+
+func newRig(t *testing.T, fencing bool) *rig {
+	t.Helper()
+	r := &rig{clocks: [2]time.Time{start, start}}
+	var err error
+	r.kv, err = fakes.StartKV(fakes.KVConfig{Addr: "127.0.0.1:0"})
+	qt.Assert(t, err, qt.IsNil)
+	r.engine, err = fakes.StartEngine(fakes.EngineConfig{Addr: "127.0.0.1:0", Name: "e", Memory: 100, Slots: 1, Fencing: fencing})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = r.kv.Kill(); _ = r.engine.Kill() })
+	r.store = store.NewClient(store.Config{Addr: r.kv.Addr(), Timeout: time.Second})
+	for i := range r.nodes {
+		r.nodes[i] = deploy.New(deploy.Config{
+			Store: r.store,
+			State: r.state([]string{"a", "b"}[i], fencing),
+			Now:   func() time.Time { return r.clocks[i] },
+		})
+	}
+	return r
+}
+
+// Returns the state of a node that knows no other one.
+func (r *rig) state(id string, fencing bool) func() kernel.State {
+	doc := &spec.Document{Team: "t", Services: []spec.Service{{
+		Name: "llm", Kind: spec.KindModel,
+		Models:    []spec.Model{{Name: "m", Version: "1", Adapters: []string{"x", "y", "z"}}},
+		Endpoints: []spec.Endpoint{{Name: "e", Addr: r.engine.Addr(), Fencing: fencing}},
+	}}}
+	s := kernel.New(kernel.Config{Self: &wire.Member{Id: id, Incarnation: 1}})
+	s, _ = s.Step(start, kernel.DocumentRead{Document: kernel.Revision{Team: "t", Number: 1, Doc: doc}})
+	_ = policy.Of(s)
+	return func() kernel.State { return s }
+}
+
+// Lets time pass for both nodes.
+func (r *rig) pass(d time.Duration) {
+	for i := range r.clocks {
+		r.clocks[i] = r.clocks[i].Add(d)
+	}
+}
+
+// Takes the hold away, as when its lease has lapsed in the key-value service.
+func (r *rig) lapse(t *testing.T) {
+	t.Helper()
+	_, err := r.store.Commit(context.Background(), nil, []store.Write{{Key: "/plantaindeck/deploy/llm", Delete: true}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func TestEngineIsBroughtToTheDocument(t *testing.T) {
+	r := newRig(t, true)
+	for range 5 {
+		r.nodes[0].Round(context.Background())
+		r.pass(time.Second)
+	}
+	qt.Assert(t, len(r.engine.State().Models), qt.Equals, 4)
+	qt.Assert(t, r.engine.Counts().Commands, qt.Equals, 4)
+	r.nodes[0].Round(context.Background())
+	qt.Assert(t, r.engine.Counts().Commands, qt.Equals, 4, qt.Commentf("nothing more is wanted"))
+}
+
+func TestOutageStopsCommands(t *testing.T) {
+	r := newRig(t, true)
+	r.nodes[0].Round(context.Background())
+	qt.Assert(t, r.engine.Counts().Commands, qt.Equals, 1)
+	r.kv.SetFaults(fakes.KVFaults{Down: true})
+	r.pass(10 * time.Second)
+	r.nodes[0].Round(context.Background())
+	qt.Assert(t, r.engine.Counts().Commands, qt.Equals, 1)
+}
+
+// A holder is paused, its lease lapses, another one acts, and the first wakes.
+func TestPausedHolder(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		name := map[bool]string{true: "engine checks tokens", false: "engine ignores tokens"}[fencing]
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, fencing)
+			r.nodes[0].Round(context.Background())
+			r.pass(4 * time.Second)
+			r.nodes[0].Round(context.Background())
+			before := r.engine.Counts().Commands
+			first := r.engine.State().Token
+			qt.Assert(t, before > 0, qt.IsTrue)
+
+			// Node a is paused: its clock goes on, but it does nothing.
+			r.pass(20 * time.Second)
+			r.lapse(t)
+			r.nodes[1].Round(context.Background())
+			if !fencing {
+				qt.Assert(t, r.engine.Counts().Commands, qt.Equals, before, qt.Commentf("commands of the former holder may still be on their way"))
+			}
+			r.pass(4 * time.Second)
+			r.nodes[1].Round(context.Background())
+			after := r.engine.Counts().Commands
+			qt.Assert(t, after > before, qt.IsTrue)
+			qt.Assert(t, r.engine.State().Token > first, qt.IsTrue)
+
+			r.nodes[0].Round(context.Background())
+			qt.Assert(t, r.engine.Counts().Commands, qt.Equals, after, qt.Commentf("the holder that woke must not act"))
+		})
+	}
+}
--- a/fakes/command.go
+++ b/fakes/command.go
@@ -16,10 +16,11 @@
 
 // Command is an order to an engine.
 type Command struct {
-	Kind  string `json:"kind"`  // load, unload or role
-	Model string `json:"model"` // model, model:adapter or model@version
-	Role  string `json:"role"`
-	Token int64  `json:"token"` // fencing token
+	Kind    string `json:"kind"`  // load, unload or role
+	Model   string `json:"model"` // model or model:adapter
+	Version string `json:"version"`
+	Role    string `json:"role"`
+	Token   int64  `json:"token"` // fencing token
 }
 
 type appliedCommand struct {
@@ -27,9 +28,14 @@
 	At time.Time `json:"at"`
 }
 
+type loadedModel struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
 // EngineState is what an engine has loaded and has been ordered to do.
 type EngineState struct {
-	Models   []string         `json:"models"`
+	Models   []loadedModel    `json:"models"`
 	Role     string           `json:"role"`
 	Token    int64            `json:"token"`
 	Commands []appliedCommand `json:"commands"`
@@ -65,7 +71,7 @@
 func (e *Engine) apply(c Command) bool {
 	switch c.Kind {
 	case "load":
-		e.loaded[c.Model] = true
+		e.loaded[c.Model] = c.Version
 	case "unload":
 		delete(e.loaded, c.Model)
 	case "role":
@@ -84,8 +90,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := EngineState{Role: e.role, Token: e.token, Commands: append([]appliedCommand(nil), e.applied...)}
-	for m := range e.loaded {
-		s.Models = append(s.Models, m)
+	for m, version := range e.loaded {
+		s.Models = append(s.Models, loadedModel{Model: m, Version: version})
 	}
 	return s
 }
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -79,8 +79,8 @@
 	counts      EngineCounts
 	faults      EngineFaults
 	leaving     bool
-	reports     []loadReport // recent, oldest first
-	loaded      map[string]bool
+	reports     []loadReport      // recent, oldest first
+	loaded      map[string]string // version by model
 	role        string
 	token       int64 // highest fencing token seen
 	applied     []appliedCommand
@@ -142,12 +142,12 @@
 		generations: map[string]*generation{},
 		requests:    map[string]*generation{},
 		tombstones:  map[string]bool{},
-		loaded:      map[string]bool{},
+		loaded:      map[string]string{},
 		role:        "serve",
 	}
 	e.cond = sync.NewCond(&e.mu)
 	for _, m := range cfg.Models {
-		e.loaded[m] = true
+		e.loaded[m] = ""
 	}
 	var err error
 	e.Server, err = start(cfg.Addr, e.serve, e.work)
--- a/fakes/serve.go
+++ b/fakes/serve.go
@@ -141,7 +141,7 @@
 		return nil, fasthttp.StatusBadRequest, "messages is empty"
 	case e.tombstones[id]:
 		return nil, fasthttp.StatusConflict, "request was cancelled"
-	case len(e.loaded) > 0 && !e.loaded[req.Model]:
+	case !e.serves(req.Model):
 		return nil, fasthttp.StatusNotFound, fmt.Sprintf("model %q is not loaded", req.Model)
 	}
 	prompt := promptOf(req.Messages)
@@ -165,6 +165,12 @@
 	return g, 0, ""
 }
 
+// An engine that has loaded nothing serves any model.
+func (e *Engine) serves(model string) bool {
+	_, ok := e.loaded[model]
+	return ok || len(e.loaded) == 0
+}
+
 const (
 	prefixBytes   = 256
 	bytesPerToken = 4
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/plantaindeck/plantaindeck/claim"
 	"github.com/plantaindeck/plantaindeck/config"
 	"github.com/plantaindeck/plantaindeck/daemon"
+	"github.com/plantaindeck/plantaindeck/deploy"
 	"github.com/plantaindeck/plantaindeck/front"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/store"
@@ -139,12 +140,16 @@
 	go func() { serving <- n.front.Serve(n.ln) }()
 	leasing := make(chan error, 1)
 	go func() { leasing <- n.keepLease(ctx) }()
+	commanding := make(chan error, 1)
+	runner := deploy.New(deploy.Config{Store: n.store, State: n.daemon.State, Now: time.Now})
+	go func() { commanding <- runner.Run(ctx) }()
 	err := n.daemon.Run(ctx)
 	if closeErr := n.ln.Close(); closeErr != nil && !errors.Is(closeErr, net.ErrClosed) {
 		klog.V(1).InfoS("Listener was not closed", "err", closeErr)
 	}
 	<-serving
 	<-leasing
+	<-commanding
 	return err
 }
 
