Admit by predicted memory, with a margin that the document's weights move

Cause: admission expected 256 tokens of output from every request, so engines filled up in the middle of long reports.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/plantaindeck/plantaindeck/guess"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
@@ -36,7 +37,6 @@
 	maxFailureHold = 30 * time.Second        //
 	leavingHold    = time.Minute             // rest of an endpoint that said it is leaving
 	lookahead      = 16                      // queued requests considered behind one that does not fit
-	firstOutput    = 256                     // expected output without experience, tokens
 	overloadRetry  = 2 * time.Second         // advice to a request that is shed
 	settleTime     = 1200 * time.Millisecond // a new owner waits for reports before it grants
 	learnTime      = 6 * time.Second         // a new owner counts running requests that it does not know
@@ -88,8 +88,9 @@
 	queue   *immutable.SortedMap[place, waiting]
 	places  *immutable.Map[string, place] // place in the queue, by request
 	granted *immutable.Map[string, granted]
-	numbers *immutable.Map[uint64, string] // request by the number of its grant
-	used    *immutable.Map[string, usage]  // by endpoint
+	numbers *immutable.Map[uint64, string]        // request by the number of its grant
+	used    *immutable.Map[string, usage]         // by endpoint
+	lengths *immutable.Map[string, guess.Lengths] // of answers, by class and by class and workspace
 }
 
 // place is a position in the queue.
@@ -124,6 +125,7 @@
 	endpoint string
 	addr     string
 	number   uint64
+	need     need
 	tokens   int
 	seen     time.Time
 }
@@ -131,7 +133,8 @@
 // usage is what the grants of one endpoint hold, and whether it may get more.
 type usage struct {
 	slots    int
-	memory   int // tokens
+	mean     float64 // expected memory, tokens
+	variance float64
 	failures int // in a row
 	rest     time.Time
 	reported bool // the endpoint has reported its load to this owner
@@ -149,6 +152,7 @@
 		granted: immutable.NewMap[string, granted](nil),
 		numbers: immutable.NewMap[uint64, string](nil),
 		used:    immutable.NewMap[string, usage](nil),
+		lengths: immutable.NewMap[string, guess.Lengths](nil),
 	}
 }
 
@@ -166,20 +170,7 @@
 // endpoint.
 func (sh *Shard) Used(endpoint string) (slots, memory int) {
 	u, _ := sh.used.Get(endpoint)
-	return u.slots, u.memory
-}
-
-// Returns the memory that a request is expected to need in all, in tokens.
-// Lengths have heavy tails: the longer an output is, the more of it remains.
-func expectedMemory(a *wire.Ask, tokens int) int {
-	if a.GetPrompt() == 0 && a.GetLimit() == 0 {
-		return 0
-	}
-	output := max(firstOutput, tokens+tokens/2)
-	if limit := int(a.GetLimit()); limit > 0 {
-		output = min(output, limit)
-	}
-	return int(a.GetPrompt()) + max(output, tokens)
+	return u.slots, int(u.mean)
 }
 
 func (sh *Shard) withUsage(endpoint string, change func(u usage) usage) *Shard {
@@ -190,9 +181,11 @@
 }
 
 func (sh *Shard) withGranted(g granted) *Shard {
+	g.need = sh.need(g.ask, g.tokens)
 	next := sh.withUsage(g.endpoint, func(u usage) usage {
 		u.slots++
-		u.memory += expectedMemory(g.ask, g.tokens)
+		u.mean += g.need.mean
+		u.variance += g.need.variance
 		return u
 	})
 	next.number++
@@ -209,7 +202,8 @@
 	}
 	next := sh.withUsage(g.endpoint, func(u usage) usage {
 		u.slots--
-		u.memory -= expectedMemory(g.ask, g.tokens)
+		u.mean -= g.need.mean
+		u.variance -= g.need.variance
 		return u
 	})
 	next.granted = next.granted.Delete(id)
@@ -218,19 +212,15 @@
 }
 
 func (sh *Shard) withProgress(g granted, tokens int, now time.Time) *Shard {
-	grown := expectedMemory(g.ask, tokens) - expectedMemory(g.ask, g.tokens)
-	next := sh
-	if grown != 0 {
-		next = sh.withUsage(g.endpoint, func(u usage) usage {
-			u.memory += grown
-			return u
-		})
-	} else {
-		copied := *sh
-		next = &copied
-	}
+	old := g.need
+	g.need = sh.need(g.ask, tokens)
 	g.tokens = tokens
 	g.seen = now
+	next := sh.withUsage(g.endpoint, func(u usage) usage {
+		u.mean += g.need.mean - old.mean
+		u.variance += g.need.variance - old.variance
+		return u
+	})
 	next.granted = next.granted.Set(g.ask.GetRequest(), g)
 	return next
 }
--- a/admit/place.go
+++ b/admit/place.go
@@ -16,7 +16,7 @@
 const prefixBonus = 0.25
 
 // Grants places to queued requests until none fits any more.
-func (sh *Shard) fill(now time.Time, epoch uint64, endpoints []spec.Endpoint) (*Shard, []kernel.Effect) {
+func (sh *Shard) fill(now time.Time, epoch uint64, weigh spec.Weigh, endpoints []spec.Endpoint) (*Shard, []kernel.Effect) {
 	if sh.queue.Len() == 0 || !sh.settled(now, endpoints) {
 		return sh, nil
 	}
@@ -25,7 +25,7 @@
 	misses := 0
 	for itr := sh.queue.Iterator(); !itr.Done() && misses < lookahead; {
 		_, w, _ := itr.Next()
-		e, ok := next.pick(now, endpoints, w.ask)
+		e, ok := next.pick(now, safety(weigh), endpoints, w.ask)
 		if !ok {
 			misses++
 			continue
@@ -71,7 +71,7 @@
 	u, _ := sh.used.Get(endpoint)
 	if now.Sub(sh.since) < learnTime {
 		u.slots += u.strange
-		u.memory += u.stranger
+		u.mean += float64(u.stranger)
 	}
 	return u
 }
@@ -92,12 +92,13 @@
 
 // Picks the endpoint with the largest part of its capacity free, with a bonus
 // for the one that should have the prompt's prefix in its cache.
-func (sh *Shard) pick(now time.Time, endpoints []spec.Endpoint, a *wire.Ask) (spec.Endpoint, bool) {
+func (sh *Shard) pick(now time.Time, safety float64, endpoints []spec.Endpoint, a *wire.Ask) (spec.Endpoint, bool) {
+	n := sh.need(a, 0)
 	favourite := cachedAt(endpoints, a.GetPrefix())
 	best, bestScore, found := spec.Endpoint{}, 0.0, false
 	for _, e := range endpoints {
 		u := sh.load(now, e.Name)
-		if now.Before(u.rest) || avoided(a, e.Name) || !fits(u, e, a) {
+		if now.Before(u.rest) || avoided(a, e.Name) || !fits(u, e, n, safety) {
 			continue
 		}
 		score := freePart(u, e)
@@ -122,11 +123,11 @@
 
 // An idle endpoint takes any request, even one that is expected to need more
 // than its memory.
-func fits(u usage, e spec.Endpoint, a *wire.Ask) bool {
+func fits(u usage, e spec.Endpoint, n need, safety float64) bool {
 	if u.slots >= e.Slots {
 		return false
 	}
-	return e.Memory == 0 || u.slots == 0 || u.memory+expectedMemory(a, 0) <= e.Memory
+	return e.Memory == 0 || u.slots == 0 || u.holds(e.Memory, n, safety)
 }
 
 func freePart(u usage, e spec.Endpoint) float64 {
@@ -134,7 +135,7 @@
 	if e.Memory == 0 {
 		return slots
 	}
-	return min(slots, 1-float64(u.memory)/float64(e.Memory))
+	return min(slots, 1-u.mean/float64(e.Memory))
 }
 
 // Returns the endpoint that requests with a prefix prefer, which every owner
--- a/admit/step.go
+++ b/admit/step.go
@@ -81,16 +81,18 @@
 	if !ok {
 		sh = newShard(now, service, int(index))
 	}
-	next, effects := change(sh).fill(now, epoch(s), b.usable(endpoints(s, service, int(index))))
+	weigh, list := inForce(s, service, int(index))
+	next, effects := change(sh).fill(now, epoch(s), weigh, b.usable(list))
 	return b.with(key, next), effects
 }
 
-func endpoints(s kernel.State, service string, index int) []spec.Endpoint {
+// Returns the weights and the endpoints of a shard, by the document in force.
+func inForce(s kernel.State, service string, index int) (spec.Weigh, []spec.Endpoint) {
 	svc, _, ok := policy.Of(s).Service(service)
 	if !ok {
-		return nil
+		return spec.Weigh{}, nil
 	}
-	return shard.Endpoints(svc, index)
+	return svc.Weigh, shard.Endpoints(svc, index)
 }
 
 func (b *Book) ask(now time.Time, s kernel.State, from string, a *wire.Ask) (*Book, []kernel.Effect) {
@@ -116,7 +118,7 @@
 		return b, []kernel.Effect{refuse(from, a, kernel.ReasonOverload, overloadRetry)}
 	}
 	w := waiting{ask: a, entry: from, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
-	next, effects := sh.withWaiting(priority(svc, a), w).fill(now, epoch(s), b.usable(shard.Endpoints(svc, int(a.GetShard()))))
+	next, effects := sh.withWaiting(priority(svc, a), w).fill(now, epoch(s), svc.Weigh, b.usable(shard.Endpoints(svc, int(a.GetShard()))))
 	return b.with(key, next), append([]kernel.Effect{accept}, effects...)
 }
 
@@ -146,6 +148,9 @@
 		return sh
 	}
 	next := sh.withoutGranted(r.GetRequest())
+	if !r.GetFailed() && r.GetTokens() > 0 {
+		next = next.withLength(g.ask, int(r.GetTokens()))
+	}
 	return next.withUsage(g.endpoint, func(u usage) usage {
 		return u.after(now, r)
 	})
@@ -218,7 +223,8 @@
 	var effects []kernel.Effect
 	for _, key := range slices.Sorted(maps.Keys(b.shards)) {
 		sh, out := b.shards[key].expire(now)
-		filled, grants := sh.fill(now, epoch(s), b.usable(endpoints(s, sh.service, sh.index)))
+		weigh, list := inForce(s, sh.service, sh.index)
+		filled, grants := sh.fill(now, epoch(s), weigh, b.usable(list))
 		if filled != b.shards[key] {
 			next = next.with(key, filled)
 		}
@@ -269,7 +275,7 @@
 			}
 			if now.Sub(sh.since) < learnTime {
 				u.strange = max(0, e.Load.Running+e.Load.Waiting-u.slots)
-				u.stranger = max(0, e.Load.Used-u.memory)
+				u.stranger = max(0, e.Load.Used-int(u.mean))
 			}
 			return u
 		}))
@@ -287,7 +293,8 @@
 		if first != s.Config.Self.GetId() && sh.queue.Len() == 0 {
 			continue
 		}
-		for _, e := range endpoints(s, sh.service, sh.index) {
+		_, list := inForce(s, sh.service, sh.index)
+		for _, e := range list {
 			if e.Memory > 0 {
 				targets = append(targets, kernel.Target{Service: sh.service, Endpoint: e.Name, Addr: e.Addr})
 			}
