Share the engines between workspaces, and let no class starve

Cause: within a priority the queue was first come first served, so a workspace that sends much held up one that sends little. The queue is now ordered by virtual start times, charged by prompt, output and memory held, and corrected by what a request really took; a request that has waited 20 s goes first.

Found by the starvation test: a correction that lowered a workspace's account at once let its later requests pass its earlier ones; it now counts for the next charge only.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -11,7 +11,9 @@
 //   - The slots of an endpoint are never exceeded by this node's grants, nor
 //     is its memory by the amounts that it expects them to need.
 //   - Of two queued requests that fit the same endpoints, the one of the
-//     higher priority goes first, and the earlier one within a priority.
+//     higher priority goes first. Within a priority workspaces share the
+//     engines in proportion to their shares, charged by engine time and memory.
+//   - A request that has waited for 20 s goes before all that have not.
 //
 // A second owner of the same shard may exist for a time. Both then admit to
 // the same endpoints; that costs preemptions and breaks no promise, since an
@@ -80,26 +82,30 @@
 
 // Shard is the queue and the places of one shard. It is immutable.
 type Shard struct {
-	service string
-	index   int
-	seq     uint64    // of the last queued request
-	number  uint64    // of the last grant
-	since   time.Time // when this node first heard of the shard
-	queue   *immutable.SortedMap[place, waiting]
-	places  *immutable.Map[string, place] // place in the queue, by request
-	granted *immutable.Map[string, granted]
-	numbers *immutable.Map[uint64, string]        // request by the number of its grant
-	used    *immutable.Map[string, usage]         // by endpoint
-	lengths *immutable.Map[string, guess.Lengths] // of answers, by class and by class and workspace
+	service  string
+	index    int
+	seq      uint64                          // of the last queued request
+	number   uint64                          // of the last grant
+	virtual  float64                         // virtual time of the last grant
+	accounts *immutable.Map[string, account] // by workspace
+	since    time.Time                       // when this node first heard of the shard
+	queue    *immutable.SortedMap[place, waiting]
+	places   *immutable.Map[string, place] // place in the queue, by request
+	granted  *immutable.Map[string, granted]
+	numbers  *immutable.Map[uint64, string]        // request by the number of its grant
+	used     *immutable.Map[string, usage]         // by endpoint
+	lengths  *immutable.Map[string, guess.Lengths] // of answers, by class and by class and workspace
 }
 
 // place is a position in the queue.
 type place struct {
 	priority int
+	start    float64 // virtual time
 	seq      uint64
 }
 
-// byPlace orders the queue: higher priorities first, then earlier arrivals.
+// byPlace orders the queue: higher priorities first, then earlier virtual times
+// of their workspaces, then earlier arrivals.
 type byPlace struct{}
 
 // Compare orders two places.
@@ -107,6 +113,9 @@
 	if c := cmp.Compare(b.priority, a.priority); c != 0 {
 		return c
 	}
+	if c := cmp.Compare(a.start, b.start); c != 0 {
+		return c
+	}
 	return cmp.Compare(a.seq, b.seq)
 }
 
@@ -114,6 +123,9 @@
 type waiting struct {
 	ask      *wire.Ask
 	entry    string // node that asked
+	share    int    // of its workspace
+	charged  float64
+	arrived  time.Time
 	seen     time.Time
 	deadline time.Time
 }
@@ -126,6 +138,8 @@
 	addr     string
 	number   uint64
 	need     need
+	share    int // of its workspace; 0 if another owner granted it
+	charged  float64
 	tokens   int
 	seen     time.Time
 }
@@ -144,15 +158,16 @@
 
 func newShard(now time.Time, service string, index int) *Shard {
 	return &Shard{
-		service: service,
-		index:   index,
-		since:   now,
-		queue:   immutable.NewSortedMap[place, waiting](byPlace{}),
-		places:  immutable.NewMap[string, place](nil),
-		granted: immutable.NewMap[string, granted](nil),
-		numbers: immutable.NewMap[uint64, string](nil),
-		used:    immutable.NewMap[string, usage](nil),
-		lengths: immutable.NewMap[string, guess.Lengths](nil),
+		service:  service,
+		index:    index,
+		since:    now,
+		queue:    immutable.NewSortedMap[place, waiting](byPlace{}),
+		places:   immutable.NewMap[string, place](nil),
+		granted:  immutable.NewMap[string, granted](nil),
+		numbers:  immutable.NewMap[uint64, string](nil),
+		used:     immutable.NewMap[string, usage](nil),
+		lengths:  immutable.NewMap[string, guess.Lengths](nil),
+		accounts: immutable.NewMap[string, account](nil),
 	}
 }
 
@@ -226,12 +241,13 @@
 }
 
 func (sh *Shard) withWaiting(priority int, w waiting) *Shard {
-	next := *sh
+	w.charged = sh.expectedCost(w.ask)
+	next, start := sh.withCharge(w.ask, w.share)
 	next.seq++
-	at := place{priority: priority, seq: next.seq}
+	at := place{priority: priority, start: start, seq: next.seq}
 	next.queue = sh.queue.Set(at, w)
 	next.places = sh.places.Set(w.ask.GetRequest(), at)
-	return &next
+	return next
 }
 
 func (sh *Shard) withoutWaiting(id string) *Shard {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -103,10 +103,14 @@
 	return events
 }
 
-// Lets a request arrive at a node.
+// Lets a request of the workspace w0 arrive at a node.
 func (w *world) arrive(node int, id, class string, wait time.Duration) {
+	w.arriveFrom("w0", node, id, class, wait)
+}
+
+func (w *world) arriveFrom(space string, node int, id, class string, wait time.Duration) {
 	w.Give(node, kernel.Arrived{Request: kernel.Request{
-		ID: id, Service: "llm", Workspace: "w0", Class: class, Model: "m", Prompt: 100, Limit: 1000, Deadline: w.Now().Add(wait),
+		ID: id, Service: "llm", Workspace: space, Class: class, Model: "m", Prompt: 100, Limit: 1000, Deadline: w.Now().Add(wait),
 	}})
 }
 
@@ -176,6 +180,46 @@
 	qt.Assert(t, w.places["report"], qt.Equals, 0)
 }
 
+// A workspace that sends much waits behind one that sends little.
+func TestWorkspacesShare(t *testing.T) {
+	w := newWorld(t, 4, shape{engines: 1, spaces: 2, memory: 1 << 20, slots: 1})
+	w.arrive(0, "running", "low", time.Hour)
+	w.Run(2 * time.Second)
+	for i := range 10 {
+		w.arriveFrom("w0", 0, fmt.Sprint("heavy", i), "low", time.Hour)
+	}
+	w.Run(time.Second)
+	w.arriveFrom("w1", 1, "light", "low", time.Hour)
+	w.Run(time.Second)
+	last := "running"
+	for range 2 {
+		w.Give(0, kernel.Ended{Request: last, Tokens: 256})
+		w.Run(500 * time.Millisecond)
+		for id := range w.placed {
+			if strings.HasPrefix(id, "heavy") {
+				last = id
+			}
+		}
+	}
+	qt.Assert(t, w.places["light"], qt.Equals, 1, qt.Commentf("placed %v", w.placed))
+}
+
+func TestNoClassStarves(t *testing.T) {
+	w := newWorld(t, 4, shape{engines: 1, spaces: 1, memory: 1 << 20, slots: 1})
+	w.arrive(0, "h0", "high", time.Hour)
+	w.Run(2 * time.Second)
+	w.arrive(0, "report", "low", time.Hour)
+	for i := range 60 {
+		w.arrive(0, fmt.Sprint("h", i+1), "high", time.Hour)
+		w.Run(500 * time.Millisecond)
+		w.Give(0, kernel.Ended{Request: fmt.Sprint("h", i), Tokens: 10})
+		if w.places["report"] == 1 {
+			return
+		}
+	}
+	t.Fatal("the report starved")
+}
+
 func TestDeadlineRejects(t *testing.T) {
 	w := newWorld(t, 4, shape{engines: 1, spaces: 1, memory: 1 << 20, slots: 1})
 	w.arrive(0, "running", "low", time.Minute)
--- a/admit/place.go
+++ b/admit/place.go
@@ -24,14 +24,15 @@
 	var effects []kernel.Effect
 	misses := 0
 	for itr := sh.queue.Iterator(); !itr.Done() && misses < lookahead; {
-		_, w, _ := itr.Next()
+		at, w, _ := itr.Next()
 		e, ok := next.pick(now, safety(weigh), endpoints, w.ask)
 		if !ok {
 			misses++
 			continue
 		}
-		g := granted{ask: w.ask, entry: w.entry, endpoint: e.Name, addr: e.Addr, seen: now}
+		g := granted{ask: w.ask, entry: w.entry, endpoint: e.Name, addr: e.Addr, share: w.share, charged: w.charged, seen: now}
 		next = next.withoutWaiting(w.ask.GetRequest()).withGranted(g)
+		next.virtual = max(next.virtual, at.start)
 		effects = append(effects, next.grantEffect(epoch, w.ask.GetRequest()))
 	}
 	return next, effects
--- a/admit/step.go
+++ b/admit/step.go
@@ -117,11 +117,18 @@
 	if sh.queue.Len() >= maxQueue {
 		return b, []kernel.Effect{refuse(from, a, kernel.ReasonOverload, overloadRetry)}
 	}
-	w := waiting{ask: a, entry: from, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
+	w := waiting{ask: a, entry: from, share: share(s, a), arrived: now, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
 	next, effects := sh.withWaiting(priority(svc, a), w).fill(now, epoch(s), svc.Weigh, b.usable(shard.Endpoints(svc, int(a.GetShard()))))
 	return b.with(key, next), append([]kernel.Effect{accept}, effects...)
 }
 
+func share(s kernel.State, a *wire.Ask) int {
+	if w, ok := policy.Of(s).Workspace(a.GetService(), a.GetWorkspace()); ok {
+		return w.Share
+	}
+	return 1
+}
+
 func priority(svc *spec.Service, a *wire.Ask) int {
 	if c, ok := svc.Class(a.GetClass()); ok {
 		return c.Priority
@@ -148,7 +155,8 @@
 		return sh
 	}
 	next := sh.withoutGranted(r.GetRequest())
-	if !r.GetFailed() && r.GetTokens() > 0 {
+	next = next.withCorrection(g, int(r.GetTokens()))
+	if !r.GetFailed() && r.GetTokens() > 0 && g.ask.GetLimit() > 0 {
 		next = next.withLength(g.ask, int(r.GetTokens()))
 	}
 	return next.withUsage(g.endpoint, func(u usage) usage {
@@ -250,6 +258,7 @@
 			next = next.withoutWaiting(w.ask.GetRequest())
 		}
 	}
+	next = next.withPatience(now)
 	for itr := sh.granted.Iterator(); !itr.Done(); {
 		id, g, _ := itr.Next()
 		if now.Sub(g.seen) >= runningTimeout {
