--- a/claim/claim.go
+++ b/claim/claim.go
@@ -23,6 +23,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/store"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 const (
@@ -146,23 +147,12 @@
 		if !errors.As(err, &unknown) {
 			return t, err
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, retryPause) {
 			return t, err
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Tries once to create the claim, or to find out who has it.
 func (t *Ticket) create(ctx context.Context) error {
 	// Most calls are new, so the first try does not read.
@@ -259,7 +249,7 @@
 				return nil
 			}
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, retryPause) {
 			if err == nil {
 				err = ctx.Err()
 			}
--- a/client/client.go
+++ b/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/front"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
 
@@ -203,10 +204,8 @@
 		if e.Retry > 0 {
 			pause = e.Retry
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, pause) {
 			return overall(e, unsure)
-		case <-time.After(pause):
 		}
 		pause *= 2
 	}
--- a/cmds/document.go
+++ b/cmds/document.go
@@ -26,24 +26,17 @@
 )
 
 func applyCommand() *cobra.Command {
-	var r remote
 	var base int64
 	var wait time.Duration
-	cmd := &cobra.Command{
+	cmd := remoteCommand(&cobra.Command{
 		Use:   "apply FILE",
 		Short: "Change a team's document",
 		Long: "Check a document and make it the team's next revision. The edit is accepted only if nobody else\n" +
 			"changed the document since the revision given by --base, or else since the command read it.",
 		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			return apply(cmd.Context(), c, cmd.OutOrStdout(), args[0], base, wait)
-		},
-	}
-	r.bind(cmd)
+	}, func(ctx context.Context, c *client.Client, out io.Writer, args []string) error {
+		return apply(ctx, c, out, args[0], base, wait)
+	})
 	cmd.Flags().Int64Var(&base, "base", -1, "revision that the change was made to; -1 takes the latest")
 	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until every node has the change in force")
 	return cmd
@@ -86,9 +79,7 @@
 // Returns the latest revision, which is 0 for a team without a document.
 func latest(ctx context.Context, c *client.Client, team string) (editor.Record, error) {
 	var r editor.Record
-	err := doJSON(ctx, c, client.Request{
-		Method: fasthttp.MethodGet, Path: "/v1/documents/" + team, Idempotent: true, Timeout: documentTimeout,
-	}, &r)
+	err := readJSON(ctx, c, "/v1/documents/"+team, &r)
 	var e *apierr.Error
 	if errors.As(err, &e) && e.Code == apierr.CodeNotFound {
 		return editor.Record{Team: team}, nil
@@ -96,6 +87,10 @@
 	return r, err
 }
 
+func readJSON(ctx context.Context, c *client.Client, path string, v any) error {
+	return doJSON(ctx, c, client.Request{Method: fasthttp.MethodGet, Path: path, Idempotent: true, Timeout: documentTimeout}, v)
+}
+
 func doJSON(ctx context.Context, c *client.Client, r client.Request, v any) error {
 	resp, err := c.Do(ctx, r)
 	if err != nil {
@@ -146,87 +141,59 @@
 }
 
 func getCommand() *cobra.Command {
-	var r remote
-	cmd := &cobra.Command{
+	return remoteCommand(&cobra.Command{
 		Use:   "get TEAM",
 		Short: "Print a team's document",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			var got editor.Record
-			if err := doJSON(cmd.Context(), c, client.Request{
-				Method: fasthttp.MethodGet, Path: "/v1/documents/" + args[0], Idempotent: true, Timeout: documentTimeout,
-			}, &got); err != nil {
-				return err
-			}
-			_, err = fmt.Fprint(cmd.OutOrStdout(), got.Text)
+	}, func(ctx context.Context, c *client.Client, out io.Writer, args []string) error {
+		var got editor.Record
+		if err := readJSON(ctx, c, "/v1/documents/"+args[0], &got); err != nil {
 			return err
-		},
-	}
-	r.bind(cmd)
-	return cmd
+		}
+		_, err := fmt.Fprint(out, got.Text)
+		return err
+	})
 }
 
 func diffCommand() *cobra.Command {
-	var r remote
-	cmd := &cobra.Command{
+	return remoteCommand(&cobra.Command{
 		Use:   "diff FILE",
 		Short: "Show how a file differs from the team's document",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			text, err := os.ReadFile(args[0])
-			if err != nil {
-				return errors.Wrap(err, "read document")
-			}
-			doc, err := spec.Parse(text)
-			if err != nil {
-				return &usageError{errors.Errorf("document %s is not valid:\n%v", args[0], err)}
-			}
-			old, err := latest(cmd.Context(), c, doc.Team)
-			if err != nil {
-				return err
-			}
-			name := fmt.Sprintf("revision %d", old.Revision)
-			_, err = cmd.OutOrStdout().Write(diff.Diff(name, []byte(old.Text), args[0], text))
+	}, func(ctx context.Context, c *client.Client, out io.Writer, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return errors.Wrap(err, "read document")
+		}
+		doc, err := spec.Parse(text)
+		if err != nil {
+			return &usageError{errors.Errorf("document %s is not valid:\n%v", args[0], err)}
+		}
+		old, err := latest(ctx, c, doc.Team)
+		if err != nil {
 			return err
-		},
-	}
-	r.bind(cmd)
-	return cmd
+		}
+		name := fmt.Sprintf("revision %d", old.Revision)
+		_, err = out.Write(diff.Diff(name, []byte(old.Text), args[0], text))
+		return err
+	})
 }
 
 func historyCommand() *cobra.Command {
-	var r remote
-	cmd := &cobra.Command{
+	return remoteCommand(&cobra.Command{
 		Use:   "history TEAM",
 		Short: "List the revisions of a team's document",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			var records []editor.Record
-			if err := doJSON(cmd.Context(), c, client.Request{
-				Method: fasthttp.MethodGet, Path: "/v1/documents/" + args[0] + "/history", Idempotent: true, Timeout: documentTimeout,
-			}, &records); err != nil {
-				return err
-			}
-			for _, rec := range records {
-				fmt.Fprintf(cmd.OutOrStdout(), "%d\t%s\t%s\t%d bytes\n", rec.Revision, rec.Time.UTC().Format(time.RFC3339), rec.Author, len(rec.Text))
-			}
-			return nil
-		},
-	}
-	r.bind(cmd)
-	return cmd
+	}, func(ctx context.Context, c *client.Client, out io.Writer, args []string) error {
+		var records []editor.Record
+		if err := readJSON(ctx, c, "/v1/documents/"+args[0]+"/history", &records); err != nil {
+			return err
+		}
+		for _, rec := range records {
+			fmt.Fprintf(out, "%d\t%s\t%s\t%d bytes\n", rec.Revision, rec.Time.UTC().Format(time.RFC3339), rec.Author, len(rec.Text))
+		}
+		return nil
+	})
 }
 
 func hashCommand() *cobra.Command {
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -3,6 +3,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -103,3 +104,18 @@
 	}
 	return client.New(client.Config{Nodes: r.nodes, Centre: r.centre, Key: r.token}), nil
 }
+
+// remoteCommand returns a command that talks to a deployment: run gets a client
+// made of the command's settings.
+func remoteCommand(cmd *cobra.Command, run func(ctx context.Context, c *client.Client, out io.Writer, args []string) error) *cobra.Command {
+	var r remote
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		c, err := r.client()
+		if err != nil {
+			return err
+		}
+		return run(cmd.Context(), c, cmd.OutOrStdout(), args)
+	}
+	r.bind(cmd)
+	return cmd
+}
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -51,25 +51,17 @@
 }
 
 func statusCommand() *cobra.Command {
-	var r remote
-	cmd := &cobra.Command{
+	return remoteCommand(&cobra.Command{
 		Use:   "status",
 		Short: "Show the nodes, the documents in force and who is behind",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			statuses, err := allStatus(cmd.Context(), c)
-			if err != nil {
-				return err
-			}
-			return printStatus(cmd.OutOrStdout(), statuses)
-		},
-	}
-	r.bind(cmd)
-	return cmd
+	}, func(ctx context.Context, c *client.Client, out io.Writer, _ []string) error {
+		statuses, err := allStatus(ctx, c)
+		if err != nil {
+			return err
+		}
+		return printStatus(out, statuses)
+	})
 }
 
 func printStatus(out io.Writer, statuses []nodeStatus) error {
@@ -104,25 +96,18 @@
 }
 
 func timelineCommand() *cobra.Command {
-	var r remote
 	var filter timelineFilter
-	cmd := &cobra.Command{
+	cmd := remoteCommand(&cobra.Command{
 		Use:   "timeline",
 		Short: "Print one time line of events over all nodes",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := r.client()
-			if err != nil {
-				return err
-			}
-			entries, err := gather(cmd.Context(), c)
-			if err != nil {
-				return err
-			}
-			return filter.print(cmd.OutOrStdout(), entries)
-		},
-	}
-	r.bind(cmd)
+	}, func(ctx context.Context, c *client.Client, out io.Writer, _ []string) error {
+		entries, err := gather(ctx, c)
+		if err != nil {
+			return err
+		}
+		return filter.print(out, entries)
+	})
 	f := cmd.Flags()
 	f.StringVar(&filter.request, "request", "", "only events of this request, its attempts included")
 	f.StringVar(&filter.workspace, "workspace", "", "only events of this workspace")
--- a/demo.sh
+++ b/demo.sh
@@ -3,19 +3,9 @@
 # a confirmed order. It ends by itself.
 set -euo pipefail
 cd "$(dirname "$0")"
-out=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  [ -n "${DEMO_KEEP:-}" ] && cp "$out"/*.log "$DEMO_KEEP" || true
-  rm -rf "$out"
-}
-trap cleanup EXIT
-
 echo "== build"
-go build -o "$out/" ./cmd/plantaindeck ./cmd/standin
-deck=$out/plantaindeck
+SIGNAL=-TERM
+. ./common.sh
 
 echo "== stand-ins: 12 engines, 3 plain servers, key-value service, weight store, list of hosts"
 "$out/standin" demo examples/omaheke.yaml \
@@ -23,10 +13,7 @@
   --entry 127.0.10.12:7000/127.0.10.12:8080/khomas-b >"$out/standin.log" 2>&1 &
 pids+=($!)
 
-export PLANTAINDECK_KV=127.0.10.1:2379 PLANTAINDECK_HOSTS=127.0.10.3:8300
-export PLANTAINDECK_SECRET=a-secret-for-the-demo-only PLANTAINDECK_TTL=1s
-PLANTAINDECK_ADMIN=maria=$("$deck" hash maria-demo-key)
-export PLANTAINDECK_ADMIN
+export PLANTAINDECK_TTL=1s
 echo "== two nodes"
 "$deck" node --peer 127.0.10.11:7000 --front 127.0.10.11:8080 --centre khomas-a >"$out/node1.log" 2>&1 &
 pids+=($!)
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -23,6 +23,7 @@
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/plantaindeck/plantaindeck/store"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 // The prefixes of the keys.
@@ -191,23 +192,12 @@
 		if unsure == nil {
 			return r, err
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, retryPause) {
 			return Record{}, unsure
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Tries an edit once. It reports done when the result is final.
 func (e *Editor) try(ctx context.Context, edit Edit, next Record, doc *spec.Document) (Record, bool, error) {
 	made, ok, err := e.settled(ctx, next)
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 // EngineConfig describes a model engine.
@@ -193,7 +195,7 @@
 		e.faults.Pause = 0
 		cost := e.step(time.Now())
 		e.mu.Unlock()
-		if !sleep(ctx, pause+time.Duration(float64(cost)/e.cfg.Speed)) {
+		if !wait.For(ctx, pause+time.Duration(float64(cost)/e.cfg.Speed)) {
 			return
 		}
 	}
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/store"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 )
@@ -340,7 +341,7 @@
 
 // Deletes the keys of lapsed leases.
 func (k *KV) expire(ctx context.Context) {
-	for sleep(ctx, 50*time.Millisecond) {
+	for wait.For(ctx, 50*time.Millisecond) {
 		k.expireOnce(time.Now())
 	}
 }
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -11,7 +11,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -104,18 +103,3 @@
 	}
 	return true
 }
-
-// Waits for a time, or until ctx ends. It reports whether the time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/front/attach.go
+++ b/front/attach.go
@@ -15,6 +15,7 @@
 	"github.com/plantaindeck/plantaindeck/policy"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/trace"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
 
@@ -155,10 +156,10 @@
 // reads any more is cancelled.
 func (f *Front) await(a attempt, tokens int) {
 	place := relay.Place{Addr: a.place.Addr, Request: a.request, Generation: a.stream.Generation()}
-	f.background(func(ctx context.Context) error {
+	f.background(func(context.Context) error {
 		defer f.cfg.Daemon.Ended(kernel.Ended{Request: a.request, Tokens: tokens})
-		for wait := attachWindow; ; wait = attachPoll {
-			if !pause(ctx, f.ctx, wait) {
+		for period := attachWindow; ; period = attachPoll {
+			if !wait.For(f.ctx, period) {
 				// This node stops, and the caller may come back through another.
 				return nil
 			}
@@ -178,17 +179,3 @@
 		}
 	})
 }
-
-// Waits for a time, and reports false when one of the contexts ends first.
-func pause(a, b context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-a.Done():
-		return false
-	case <-b.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/client"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 // Target is where requests are sent. The set is closed.
@@ -53,7 +54,7 @@
 	var running sync.WaitGroup
 	for i, a := range r.Arrivals {
 		due := started.Add(a.At)
-		if !sleepUntil(ctx, due) {
+		if !wait.For(ctx, time.Until(due)) {
 			break
 		}
 		if r.Progress != nil {
@@ -65,17 +66,6 @@
 	return results
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r Run) send(ctx context.Context, a Arrival, due time.Time) sample {
 	s := sample{due: due}
 	chat := client.Chat{
--- a/measure.sh
+++ b/measure.sh
@@ -5,21 +5,8 @@
 cd "$(dirname "$0")"
 nodes=${1:?usage: measure.sh NODES [SECONDS]}
 seconds=${2:-20}
-out=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$out"
-}
-trap cleanup EXIT
-go build -o "$out/" ./cmd/plantaindeck ./cmd/standin
-deck=$out/plantaindeck
-
-export PLANTAINDECK_KV=127.0.10.1:2379 PLANTAINDECK_HOSTS=127.0.10.3:8300
-export PLANTAINDECK_SECRET=a-secret-for-the-demo-only
-PLANTAINDECK_ADMIN=maria=$("$deck" hash maria-demo-key)
-export PLANTAINDECK_ADMIN GOMAXPROCS=2
+. ./common.sh
+export GOMAXPROCS=2
 entries=()
 for i in $(seq "$nodes"); do entries+=(--entry "127.0.40.$i:7000/127.0.40.$i:8080/dc-$((i % 4))"); done
 "$out/standin" demo "${DOCUMENT:-examples/omaheke.yaml}" "${entries[@]}" >"$out/standin.log" 2>&1 &
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/plantaindeck/plantaindeck/wire"
 	"k8s.io/klog/v2"
 )
@@ -156,18 +157,15 @@
 // Gets a new lease for claims every leasePeriod. Claims made without one last.
 func (n *Node) keepLease(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait := leasePeriod
+		period := leasePeriod
 		id, err := n.store.GrantLease(ctx, leaseSeconds)
 		if err != nil {
 			klog.V(1).InfoS("Lease for claims was not granted", "err", err)
-			wait = leaseRetry
+			period = leaseRetry
 		} else {
 			n.lease.Store(id)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		wait.For(ctx, period)
 	}
 	return nil
 }
@@ -188,10 +186,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	klog.InfoS("Node is leaving", "peer", n.cfg.Peer)
 	n.daemon.Stop(ctx)
-	select {
-	case <-ctx.Done():
-	case <-time.After(n.cfg.TTL + spreadTime):
-	}
+	wait.For(ctx, n.cfg.TTL+spreadTime)
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Grace)
 	defer cancel()
 	err := n.front.Shutdown(ctx)
--- a/relay.sh
+++ b/relay.sh
@@ -6,20 +6,7 @@
 rate=${1:?usage: relay.sh RATE [SECONDS] [SPEED]}
 seconds=${2:-20}
 speed=${3:-1}
-out=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$out"
-}
-trap cleanup EXIT
-go build -o "$out/" ./cmd/plantaindeck ./cmd/standin
-deck=$out/plantaindeck
-export PLANTAINDECK_KV=127.0.10.1:2379 PLANTAINDECK_HOSTS=127.0.10.3:8300
-export PLANTAINDECK_SECRET=a-secret-for-the-demo-only
-PLANTAINDECK_ADMIN=maria=$("$deck" hash maria-demo-key)
-export PLANTAINDECK_ADMIN
+. ./common.sh
 "$out/standin" demo examples/omaheke.yaml --speed "$speed" --entry 127.0.40.1:7000/127.0.40.1:8080/khomas-a \
   --entry 127.0.40.2:7000/127.0.40.2:8080/khomas-b >"$out/standin.log" 2>&1 &
 pids+=($!)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/tmaxmax/go-sse"
 	"github.com/valyala/fasthttp"
 )
@@ -223,10 +224,8 @@
 		if errors.As(err, &refused) && refused.Status == fasthttp.StatusNotFound {
 			return &LostError{Addr: s.place.Addr, Err: err}
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, pause) {
 			return &LostError{Addr: s.place.Addr, Err: ctx.Err()}
-		case <-time.After(pause):
 		}
 		pause *= 2
 	}
