--- a/admit/memory.go
+++ b/admit/memory.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	overlap     = 0.6 // part of the remaining lengths that is held at the same time
+	overlap     = 0.8 // part of the remaining lengths that is held at the same time
 	baseSafety  = 0.5 // standard deviations kept free with no weight on stalls
 	safetyStep  = 0.1 // more for each point of weight on stalls and preemptions
 	enoughToUse = 20  // answers of a workspace before it has a prediction of its own
