--- a/front/attach.go
+++ b/front/attach.go
@@ -157,7 +157,7 @@
 func (f *Front) await(a attempt, tokens int) {
 	place := relay.Place{Addr: a.place.Addr, Request: a.request, Generation: a.stream.Generation()}
 	f.background(func(context.Context) error {
-		defer f.cfg.Daemon.Ended(kernel.Ended{Request: a.request, Tokens: tokens})
+		defer func() { f.cfg.Daemon.Ended(kernel.Ended{Request: a.request, Tokens: tokens}) }()
 		for period := attachWindow; ; period = attachPoll {
 			if !wait.For(f.ctx, period) {
 				// This node stops, and the caller may come back through another.
