Shed early and honestly, by who is over their share

Cause: in an overload every queued request waited for its deadline before it was answered. The owner now measures the pace at which each priority that queues gets places; a request that will not get one before its deadline is refused at once, with a time to come back. Within a priority the requests of a workspace over its share come last, so they go first.

Shown by go test ./admit, TestOverloadIsShedEarly: three requests for each place with deadlines of 20 s; the sender of all of them is shed within 12 s, the workspace that sends a quarter of a request for each place never.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -88,6 +88,7 @@
 	number   uint64                          // of the last grant
 	virtual  float64                         // virtual time of the last grant
 	accounts *immutable.Map[string, account] // by workspace
+	paces    *immutable.Map[int, pace]       // of the priorities that queue
 	since    time.Time                       // when this node first heard of the shard
 	queue    *immutable.SortedMap[place, waiting]
 	places   *immutable.Map[string, place] // place in the queue, by request
@@ -123,6 +124,7 @@
 type waiting struct {
 	ask      *wire.Ask
 	entry    string // node that asked
+	priority int    // of its class
 	share    int    // of its workspace
 	charged  float64
 	arrived  time.Time
@@ -168,6 +170,7 @@
 		used:     immutable.NewMap[string, usage](nil),
 		lengths:  immutable.NewMap[string, guess.Lengths](nil),
 		accounts: immutable.NewMap[string, account](nil),
+		paces:    immutable.NewMap[int, pace](nil),
 	}
 }
 
@@ -240,11 +243,11 @@
 	return next
 }
 
-func (sh *Shard) withWaiting(priority int, w waiting) *Shard {
+func (sh *Shard) withWaiting(w waiting) *Shard {
 	w.charged = sh.expectedCost(w.ask)
 	next, start := sh.withCharge(w.ask, w.share)
 	next.seq++
-	at := place{priority: priority, start: start, seq: next.seq}
+	at := place{priority: w.priority, start: start, seq: next.seq}
 	next.queue = sh.queue.Set(at, w)
 	next.places = sh.places.Set(w.ask.GetRequest(), at)
 	return next
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -204,6 +204,41 @@
 	qt.Assert(t, w.places["light"], qt.Equals, 1, qt.Commentf("placed %v", w.placed))
 }
 
+// Requests that cannot get a place before their deadline are refused at once,
+// with a time to come back, and first those of the workspace that sends most.
+func TestOverloadIsShedEarly(t *testing.T) {
+	const wait = 20 * time.Second
+	w := newWorld(t, 4, shape{engines: 1, spaces: 2, memory: 1 << 20, slots: 1})
+	w.arrive(0, "r0", "low", wait)
+	w.Run(2 * time.Second)
+	ended := map[string]bool{}
+	// One place is free each half second, and three requests come for it.
+	for i := range 20 {
+		for k := range 3 {
+			w.arriveFrom("w0", 0, fmt.Sprintf("heavy%d-%d", i, k), "low", wait)
+		}
+		if i%4 == 0 {
+			w.arriveFrom("w1", 0, fmt.Sprint("light", i), "low", wait)
+		}
+		w.Run(500 * time.Millisecond)
+		for id := range w.placed {
+			if !ended[id] {
+				ended[id] = true
+				w.Give(0, kernel.Ended{Request: id, Tokens: 256})
+			}
+		}
+	}
+	shed := 0
+	for id, r := range w.rejected {
+		qt.Assert(t, r.Reason, qt.Equals, kernel.ReasonOverload, qt.Commentf("%s", id))
+		qt.Assert(t, r.Retry >= time.Second, qt.IsTrue)
+		qt.Assert(t, strings.HasPrefix(id, "heavy"), qt.IsTrue, qt.Commentf("%s is within its share", id))
+		shed++
+	}
+	qt.Assert(t, shed > 0, qt.IsTrue)
+	qt.Assert(t, w.Since() < wait, qt.IsTrue, qt.Commentf("nothing has reached its deadline yet"))
+}
+
 func TestNoClassStarves(t *testing.T) {
 	w := newWorld(t, 4, shape{engines: 1, spaces: 1, memory: 1 << 20, slots: 1})
 	w.arrive(0, "h0", "high", time.Hour)
--- a/admit/place.go
+++ b/admit/place.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		g := granted{ask: w.ask, entry: w.entry, endpoint: e.Name, addr: e.Addr, share: w.share, charged: w.charged, seen: now}
-		next = next.withoutWaiting(w.ask.GetRequest()).withGranted(g)
+		next = next.withoutWaiting(w.ask.GetRequest()).withGranted(g).withPace(w.priority)
 		next.virtual = max(next.virtual, at.start)
 		effects = append(effects, next.grantEffect(epoch, w.ask.GetRequest()))
 	}
--- a/admit/step.go
+++ b/admit/step.go
@@ -117,8 +117,8 @@
 	if sh.queue.Len() >= maxQueue {
 		return b, []kernel.Effect{refuse(from, a, kernel.ReasonOverload, overloadRetry)}
 	}
-	w := waiting{ask: a, entry: from, share: share(s, a), arrived: now, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
-	next, effects := sh.withWaiting(priority(svc, a), w).fill(now, epoch(s), svc.Weigh, b.usable(shard.Endpoints(svc, int(a.GetShard()))))
+	w := waiting{ask: a, entry: from, priority: priority(svc, a), share: share(s, a), arrived: now, seen: now, deadline: now.Add(time.Duration(a.GetWait()))}
+	next, effects := sh.withWaiting(w).fill(now, epoch(s), svc.Weigh, b.usable(shard.Endpoints(svc, int(a.GetShard()))))
 	return b.with(key, next), append([]kernel.Effect{accept}, effects...)
 }
 
@@ -258,7 +258,8 @@
 			next = next.withoutWaiting(w.ask.GetRequest())
 		}
 	}
-	next = next.withPatience(now)
+	next, shed := next.withPatience(now).shed(now)
+	effects = append(effects, shed...)
 	for itr := sh.granted.Iterator(); !itr.Done(); {
 		id, g, _ := itr.Next()
 		if now.Sub(g.seen) >= runningTimeout {
