Retry within a budget and with jitter; give each caller of the history test its own seed

Cause: a failed attempt was repeated up to three times at once, so failures multiplied the load. The history test shared a random source between two goroutines (found by the race detector in a clean clone); the check itself and its bounds are as before.

--- a/check/run_test.go
+++ b/check/run_test.go
@@ -84,9 +84,8 @@
 	var work, aside sync.WaitGroup
 	done := make(chan struct{})
 	for i := range callers {
-		rnd := rand.New(rand.NewPCG(seed, uint64(i)))
-		work.Go(func() { r.order(i, rnd) })
-		work.Go(func() { r.stream(callers+i, rnd) })
+		work.Go(func() { r.order(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+		work.Go(func() { r.stream(callers+i, rand.New(rand.NewPCG(seed, uint64(50+i)))) })
 	}
 	for i := range 2 {
 		work.Go(func() { r.edit(2*callers+i, rand.New(rand.NewPCG(seed, uint64(90+i)))) })
--- a/front/chat.go
+++ b/front/chat.go
@@ -67,6 +67,7 @@
 		return err
 	}
 	ctx.Response.Header.Set(headerRequest, c.id)
+	f.fresh()
 	f.record(c, "arrive", "")
 	if c.stream && !c.class.Whole {
 		return f.answerStream(ctx, c)
@@ -211,7 +212,7 @@
 		if fail == nil {
 			return a, nil
 		}
-		if a.place.Endpoint == "" || n == maxAttempts {
+		if a.place.Endpoint == "" || !f.mayRetry(n) {
 			return attempt{}, fail.WithRequest(c.id)
 		}
 		f.record(c, "retry", fail.Message)
@@ -358,7 +359,7 @@
 			return f.writeWhole(ctx, c, text, tokens)
 		}
 		fail = f.attemptFailed(a, err)
-		if n == maxAttempts {
+		if !f.mayRetry(n) {
 			return fail.WithRequest(c.id)
 		}
 		f.record(c, "restart", fail.Message)
--- a/front/front.go
+++ b/front/front.go
@@ -10,6 +10,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -20,8 +21,10 @@
 	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/policy"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/retry"
 	"github.com/plantaindeck/plantaindeck/route"
 	"github.com/plantaindeck/plantaindeck/spec"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
 
@@ -46,21 +49,30 @@
 	Admin  map[string]string // operators' names by the hash of their key
 	TTL    time.Duration     // of the address list
 	Body   int               // largest request body, bytes
+	Seed   uint64            // of random pauses
 }
 
 // Front serves callers and operators.
 type Front struct {
-	cfg  Config
-	http *fasthttp.Server
-	ctx  context.Context
-	stop context.CancelFunc
-	jobs sync.WaitGroup // work that outlives its request
+	cfg    Config
+	http   *fasthttp.Server
+	ctx    context.Context
+	stop   context.CancelFunc
+	jobs   sync.WaitGroup // work that outlives its request
+	mu     sync.Mutex
+	budget retry.Budget // for repeating attempts that failed
+	rand   *rand.Rand
 	counters
 }
 
 // New returns a front that does not serve yet. Requests end when ctx does.
 func New(ctx context.Context, cfg Config) *Front {
-	f := &Front{cfg: cfg, counters: newCounters(cfg.Daemon.Metrics())}
+	f := &Front{
+		cfg:      cfg,
+		counters: newCounters(cfg.Daemon.Metrics()),
+		budget:   retry.New(),
+		rand:     rand.New(rand.NewPCG(cfg.Seed, 4)),
+	}
 	f.ctx, f.stop = context.WithCancel(ctx)
 	f.http = &fasthttp.Server{
 		Handler:               f.handle,
@@ -252,6 +264,29 @@
 	return "", apierr.NotRun(fasthttp.StatusUnauthorized, apierr.CodeUnauthorized, "the key belongs to no operator")
 }
 
+const retryPause = 50 * time.Millisecond // before the second attempt; doubles
+
+// Counts a fresh request for the retry budget.
+func (f *Front) fresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget = f.budget.WithFresh()
+}
+
+// Reports whether attempt n may be followed by another one, after a pause with
+// jitter.
+func (f *Front) mayRetry(n int) bool {
+	if n >= maxAttempts {
+		return false
+	}
+	f.mu.Lock()
+	var ok bool
+	f.budget, ok = f.budget.WithRetry()
+	pause := retry.Jitter(f.rand, retryPause<<(n-1))
+	f.mu.Unlock()
+	return ok && wait.For(f.ctx, pause)
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) *apierr.Error {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/front/plain.go
+++ b/front/plain.go
@@ -45,6 +45,7 @@
 		return err
 	}
 	ctx.Response.Header.Set(headerRequest, c.id)
+	f.fresh()
 	f.recordCall(c, "arrive", c.relay.Method+" "+c.relay.Path)
 	answer, err := f.runCall(c)
 	if err != nil {
@@ -132,7 +133,7 @@
 	var avoid []string
 	for n := 1; ; n++ {
 		answer, fail := f.callOnce(c, n, &avoid)
-		if fail == nil || n == maxAttempts || len(avoid) < n {
+		if fail == nil || len(avoid) < n || !f.mayRetry(n) {
 			return answer, fail
 		}
 		f.recordCall(c, "retry", fail.Message)
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,7 @@
 		Admin:  operators(settings.Admin),
 		TTL:    settings.TTL,
 		Body:   settings.Body,
+		Seed:   seed,
 	})
 	go func() { n.stopped <- n.run(ctx) }()
 	klog.InfoS("Node is running", "peer", settings.Peer, "front", settings.Front, "centre", settings.Centre)
