Bound a node's memory growth; keep a caller's deadline while it waits for an answer

Cause: nodes under load grew beyond 32 MB, since the garbage collector lets the heap double; and a client waited for a whole answer beyond its deadline, so that a load run ended minutes late (seen: over 100 s for 32 s).

--- a/client/chat.go
+++ b/client/chat.go
@@ -107,7 +107,7 @@
 	if st.token != "" {
 		r = Request{Method: fasthttp.MethodGet, Path: "/v1/streams/" + st.token, Last: st.last}
 	}
-	if err := c.send(addr, r, resp); err != nil {
+	if err := c.send(ctx, addr, r, resp); err != nil {
 		return err
 	}
 	st.node = addr
--- a/client/client.go
+++ b/client/client.go
@@ -153,7 +153,7 @@
 	err := c.each(ctx, r, func(addr string) error {
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
-		if err := c.send(addr, r, resp); err != nil {
+		if err := c.send(ctx, addr, r, resp); err != nil {
 			return err
 		}
 		answer = Response{Addr: addr, Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
@@ -169,7 +169,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrapf(err, "ask %s for %s", addr, path)
 	}
-	if err := c.send(addr, Request{Method: fasthttp.MethodGet, Path: path, Timeout: timeout}, resp); err != nil {
+	if err := c.send(ctx, addr, Request{Method: fasthttp.MethodGet, Path: path, Timeout: timeout}, resp); err != nil {
 		return nil, err
 	}
 	return append([]byte(nil), resp.Body()...), nil
@@ -252,14 +252,19 @@
 	}
 }
 
-// Sends a request to one node. An error is an *apierr.Error.
-func (c *Client) send(addr string, r Request, resp *fasthttp.Response) error {
+// Sends a request to one node, within the deadline of ctx and the request's
+// timeout. An error is an *apierr.Error.
+func (c *Client) send(ctx context.Context, addr string, r Request, resp *fasthttp.Response) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	c.prepare(addr, r, req)
+	deadline, bounded := ctx.Deadline()
+	if end := time.Now().Add(r.Timeout); r.Timeout > 0 && (!bounded || end.Before(deadline)) {
+		deadline, bounded = end, true
+	}
 	var err error
-	if r.Timeout > 0 && !resp.StreamBody {
-		err = c.http.DoTimeout(req, resp, r.Timeout)
+	if bounded {
+		err = c.http.DoDeadline(req, resp, deadline)
 	} else {
 		err = c.http.Do(req, resp)
 	}
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 }
 
 func runNode(settings config.Node) error {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(settings.Memory) << 20)
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/config/config.go
+++ b/config/config.go
@@ -37,6 +37,7 @@
 	Stall   time.Duration // longest silence of an endpoint within an answer
 	Grace   time.Duration // longest wait for streams to end when stopping
 	Events  int           // entries of the event record
+	Memory  int           // memory that the garbage collector aims to stay within, MB
 	Seed    uint64        // seed of random choices; 0 takes one from the clock
 }
 
@@ -46,6 +47,7 @@
 	minBody   = 1 << 10
 	maxBody   = 64 << 20
 	maxEvents = 1 << 20
+	maxMemory = 1 << 20 // MB
 )
 
 // Flags binds the settings to flags with their defaults.
@@ -66,6 +68,7 @@
 	f.DurationVar(&n.Stall, "stall", 20*time.Second, "longest silence of an endpoint within an answer")
 	f.DurationVar(&n.Grace, "grace", 10*time.Minute, "longest wait for running answers when stopping")
 	f.IntVar(&n.Events, "events", 8192, "entries that the event record keeps")
+	f.IntVar(&n.Memory, "memory", 28, "memory that the garbage collector aims to stay within, MB; 0 for no aim")
 	f.Uint64Var(&n.Seed, "seed", 0, "seed of random choices; 0 takes one from the clock")
 }
 
@@ -186,6 +189,9 @@
 	if n.Grace < 0 || n.Grace > 24*time.Hour {
 		bad.add("grace", "must lie between 0s and 24h, not %s", n.Grace)
 	}
+	if n.Memory < 0 || n.Memory > maxMemory {
+		bad.add("memory", "must lie between 0 and %d, not %d", maxMemory, n.Memory)
+	}
 	if n.Events < 1 || n.Events > maxEvents {
 		bad.add("events", "must lie between 1 and %d, not %d", maxEvents, n.Events)
 	}
--- a/relay.sh
+++ b/relay.sh
@@ -18,7 +18,7 @@
   node_pids+=($!)
 done
 sleep 3
-PLANTAINDECK_NODES=127.0.40.1:8080 "$deck" apply examples/omaheke.yaml --token maria-demo-key --wait 20s
+PLANTAINDECK_NODES=127.0.40.1:8080 "$deck" apply "${DOCUMENT:-examples/omaheke.yaml}" --token maria-demo-key --wait 20s
 "$deck" load --nodes 127.0.40.1:8080,127.0.40.2:8080 --rate "$rate" --duration "$((seconds + 20))s" --drain 1s >"$out/load" 2>/dev/null &
 load_pid=$!
 pids+=("$load_pid")
