Split the chat handler by its jobs; drop what nothing uses

front/chat.go read requests, made attempts and held whole replies back; each now has its file. Two reasons for rejections and one field had no user. The tests of front, member and admit pass unchanged.

--- a/front/chat.go
+++ b/front/chat.go
@@ -1,17 +1,13 @@
 package front
 
 import (
-	"context"
 	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
-	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/policy"
-	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/plantaindeck/plantaindeck/trace"
 	"github.com/valyala/fasthttp"
@@ -19,7 +15,6 @@
 
 const (
 	defaultDeadline = 30 * time.Second
-	maxAttempts     = 4
 	prefixBytes     = 256 // of a prompt, whose hash tells which prompts share a cache
 	bytesPerToken   = 4   // estimate of a prompt's length
 	maxOutput       = 32768
@@ -189,223 +184,3 @@
 	}
 	return now.Add(defaultDeadline)
 }
-
-// attempt is a generation that has made its first token.
-type attempt struct {
-	request string // id of the attempt
-	place   kernel.Place
-	stream  *relay.Stream
-	first   relay.Token
-	empty   bool // the generation ended without a token
-}
-
-// Gets a generation to its first token. A generation may be repeated, so an
-// attempt that fails before that is followed by another one elsewhere.
-func (f *Front) begin(c *chat, avoid []string) (attempt, *apierr.Error) {
-	body, err := c.body()
-	if err != nil {
-		return attempt{}, apierr.NotRun(fasthttp.StatusInternalServerError, apierr.CodeInternal, "encode request: %v", err)
-	}
-	deadline := c.deadline(time.Now())
-	for n := 1; ; n++ {
-		a, fail := f.try(c, body, n, deadline, avoid)
-		if fail == nil {
-			return a, nil
-		}
-		if a.place.Endpoint == "" || !f.mayRetry(n) {
-			return attempt{}, fail.WithRequest(c.id)
-		}
-		f.record(c, "retry", fail.Message)
-		avoid = append(avoid, a.place.Endpoint)
-	}
-}
-
-// Makes one attempt. The attempt's place is set if one was granted.
-func (f *Front) try(c *chat, body []byte, n int, deadline time.Time, avoid []string) (attempt, *apierr.Error) {
-	a := attempt{request: c.id + "." + itoa(n)}
-	place, err := f.cfg.Daemon.Place(f.ctx, kernel.Request{
-		ID:        a.request,
-		Service:   c.service.Name,
-		Workspace: c.who.Workspace,
-		Caller:    c.caller,
-		Class:     c.class.Name,
-		Model:     c.model,
-		Prompt:    c.prompt,
-		Limit:     c.limit,
-		Prefix:    c.prefix,
-		Deadline:  deadline,
-		Avoid:     avoid,
-	})
-	if err != nil {
-		return a, asError(err)
-	}
-	a.place = place
-	a.stream, err = f.cfg.Relay.Open(relay.Place{Addr: place.Addr, Request: a.request}, body)
-	if err == nil {
-		a.first, err = a.stream.Next(f.ctx)
-		if err == nil {
-			return a, nil
-		}
-		a.stream.Close()
-		if isEOF(err) {
-			a.empty = true
-			return a, nil
-		}
-	}
-	return a, f.attemptFailed(a, err)
-}
-
-func asError(err error) *apierr.Error {
-	var e *apierr.Error
-	if errors.As(err, &e) {
-		return e
-	}
-	return apierr.Unknown(fasthttp.StatusInternalServerError, apierr.CodeInternal, "%v", err)
-}
-
-// Gives the place of a failed attempt back, and ends the generation that may
-// still run.
-func (f *Front) attemptFailed(a attempt, err error) *apierr.Error {
-	ended := kernel.Ended{Request: a.request, Failed: true}
-	outcome := apierr.OutcomeNotRun
-	var refused *relay.RefusedError
-	var notSent *relay.NotSentError
-	switch {
-	case errors.As(err, &refused):
-		ended.Leaving = refused.Leaving
-		if refused.Status >= fasthttp.StatusBadRequest && refused.Status < fasthttp.StatusTooManyRequests && refused.Status != fasthttp.StatusNotFound {
-			ended.Failed = false
-		}
-	case errors.As(err, &notSent):
-	default:
-		outcome = apierr.OutcomeUnknown
-		f.cancel(a)
-	}
-	f.cfg.Daemon.Ended(ended)
-	e := apierr.NotRun(fasthttp.StatusBadGateway, apierr.CodeLost, "endpoint %s: %v", a.place.Endpoint, err)
-	return e.WithOutcome(outcome)
-}
-
-// Cancels an attempt at its engine, in the background.
-func (f *Front) cancel(a attempt) {
-	place := relay.Place{Addr: a.place.Addr, Request: a.request}
-	if a.stream != nil {
-		place.Generation = a.stream.Generation()
-	}
-	f.background(func(context.Context) error {
-		_, err := f.cfg.Relay.Cancel(place)
-		return errors.Wrapf(err, "cancel %s", a.request)
-	})
-}
-
-// completion is a whole chat.completion.
-type completion struct {
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Model   string             `json:"model"`
-	Choices []completionChoice `json:"choices"`
-	Usage   usage              `json:"usage"`
-}
-
-type completionChoice struct {
-	Index   int     `json:"index"`
-	Message message `json:"message"`
-	Finish  string  `json:"finish_reason"`
-}
-
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type usage struct {
-	Completion int `json:"completion_tokens"`
-}
-
-// chunkData is the part of a chat.completion.chunk that the front reads.
-type chunkData struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-}
-
-func (d chunkData) text() string {
-	if len(d.Choices) == 0 {
-		return ""
-	}
-	return d.Choices[0].Delta.Content
-}
-
-// Holds the reply back until it is complete. A generation that is lost on the
-// way is replaced by a new one, of which the caller notices nothing.
-func (f *Front) answerWhole(ctx *fasthttp.RequestCtx, c *chat) *apierr.Error {
-	started := time.Now()
-	var avoid []string
-	for n := 1; ; n++ {
-		a, fail := f.begin(c, avoid)
-		if fail != nil {
-			return fail
-		}
-		if n == 1 {
-			f.first.Update(time.Since(started).Seconds())
-		}
-		text, tokens, err := f.collect(a)
-		if err == nil {
-			f.cfg.Daemon.Ended(kernel.Ended{Request: a.request, Tokens: tokens})
-			f.completed(c.service.Name)
-			f.record(c, "complete", "")
-			return f.writeWhole(ctx, c, text, tokens)
-		}
-		fail = f.attemptFailed(a, err)
-		if !f.mayRetry(n) {
-			return fail.WithRequest(c.id)
-		}
-		f.record(c, "restart", fail.Message)
-		avoid = append(avoid, a.place.Endpoint)
-	}
-}
-
-// Reads a generation to its end.
-func (f *Front) collect(a attempt) (string, int, error) {
-	defer a.stream.Close()
-	if a.empty {
-		return "", 0, nil
-	}
-	var text strings.Builder
-	meter := f.meter(a.request)
-	for t := a.first; ; {
-		var d chunkData
-		if err := json.Unmarshal([]byte(t.Data), &d); err != nil {
-			return "", 0, errors.Wrapf(err, "decode token %d of %s", t.Index, t.Generation)
-		}
-		text.WriteString(d.text())
-		meter.token(time.Now(), t.Index)
-		var err error
-		t, err = a.stream.Next(f.ctx)
-		if isEOF(err) {
-			return text.String(), meter.tokens, nil
-		}
-		if err != nil {
-			return "", 0, err
-		}
-	}
-}
-
-func (f *Front) writeWhole(ctx *fasthttp.RequestCtx, c *chat, text string, tokens int) *apierr.Error {
-	whole := completion{
-		ID:     c.id,
-		Object: "chat.completion",
-		Model:  c.service.Name + "/" + c.model,
-		Choices: []completionChoice{{
-			Message: message{Role: "assistant", Content: text},
-			Finish:  "stop",
-		}},
-		Usage: usage{Completion: tokens},
-	}
-	if !c.stream {
-		return writeJSON(ctx, whole)
-	}
-	return writeWholeStream(ctx, c, text, tokens)
-}
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -46,8 +46,6 @@
 	ReasonDeadline  Reason = "deadline"   // no place became free in time
 	ReasonOverload  Reason = "overload"   // the queue is full
 	ReasonNoService Reason = "no-service" // no document in force names the service
-	ReasonNoPlace   Reason = "no-place"   // every endpoint is gone or leaving
-	ReasonStopping  Reason = "stopping"   // this node is stopping
 )
 
 // ReadStore asks for the documents that changed after a store revision.
--- a/member/step.go
+++ b/member/step.go
@@ -208,7 +208,11 @@
 
 func (d *draft) sendPing(id string, news []*wire.Member) {
 	d.seq++
-	d.send(id, &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Seq: d.seq, News: news, Roster: d.roster}}})
+	d.sendPingSeq(id, d.seq, news)
+}
+
+func (d *draft) sendPingSeq(id string, seq uint64, news []*wire.Member) {
+	d.send(id, &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Seq: seq, News: news, Roster: d.roster}}})
 }
 
 func (d *draft) checkProbes() {
@@ -306,7 +310,7 @@
 		return
 	}
 	m := tries[d.seedRand.IntN(len(tries))]
-	d.send(m.GetId(), &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Seq: d.seq, News: []*wire.Member{d.self}, Roster: d.roster}}})
+	d.sendPing(m.GetId(), []*wire.Member{d.self})
 }
 
 // Sends the changes of this Tick to every neighbour.
@@ -395,11 +399,7 @@
 func (d *draft) probeFor(from string, p *wire.Probe) {
 	d.seq++
 	d.asked[d.seq] = asked{by: from, seq: p.GetSeq(), sent: d.now}
-	d.sendPingSeq(p.GetTarget(), d.seq)
-}
-
-func (d *draft) sendPingSeq(id string, seq uint64) {
-	d.send(id, &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Seq: seq, Roster: d.roster}}})
+	d.sendPingSeq(p.GetTarget(), d.seq, nil)
 }
 
 // A broken connection is a reason to ask third members at once.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,18 +54,17 @@
 
 // Set holds the documents in force. It is immutable.
 type Set struct {
-	docs       map[string]kernel.Revision
-	services   map[string]string // team by service
-	keys       map[string]Identity
-	digest     uint64
-	ready      bool
-	cursor     int64
-	reading    bool
-	readAt     time.Time
-	firstTick  time.Time
-	digestAt   time.Time
-	lastFailed bool
-	pulls      map[string]time.Time // outstanding, by peer and team
+	docs      map[string]kernel.Revision
+	services  map[string]string // team by service
+	keys      map[string]Identity
+	digest    uint64
+	ready     bool
+	cursor    int64
+	reading   bool
+	readAt    time.Time
+	firstTick time.Time
+	digestAt  time.Time
+	pulls     map[string]time.Time // outstanding, by peer and team
 }
 
 // Service returns a service of a document in force, and its team.
@@ -233,7 +232,6 @@
 func (s *Set) stored(e kernel.StoreRead) *Set {
 	next := *s
 	next.reading = false
-	next.lastFailed = e.Failed
 	if !e.Failed {
 		next.ready = true
 		next.cursor = max(next.cursor, e.Cursor)
