Give each attempt of a whole reply an id of its own

Cause: found by reading. After a lost generation the numbering of attempts began again at 1, so the new generation ran under the id of the old one, by which engines know and cancel a request. The number now belongs to the request.

Shown by TestEngineLost, which asserts that the ids of all attempts differ: one id asked for twice before, two ids after.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -31,7 +31,7 @@
 	}
 	deadline := c.deadline(time.Now())
 	for n := 1; ; n++ {
-		a, fail := f.try(c, body, n, deadline, avoid)
+		a, fail := f.try(c, body, deadline, avoid)
 		if fail == nil {
 			return a, nil
 		}
@@ -43,9 +43,11 @@
 	}
 }
 
-// Makes one attempt. The attempt's place is set if one was granted.
-func (f *Front) try(c *chat, body []byte, n int, deadline time.Time, avoid []string) (attempt, *apierr.Error) {
-	a := attempt{request: c.id + "." + itoa(n)}
+// Makes one attempt, under an id that no other one has. The attempt's place is
+// set if one was granted.
+func (f *Front) try(c *chat, body []byte, deadline time.Time, avoid []string) (attempt, *apierr.Error) {
+	c.attempts++
+	a := attempt{request: c.id + "." + itoa(c.attempts)}
 	place, err := f.cfg.Daemon.Place(f.ctx, kernel.Request{
 		ID:        a.request,
 		Service:   c.service.Name,
--- a/front/chat.go
+++ b/front/chat.go
@@ -34,6 +34,7 @@
 	prefix      uint64
 	limit       int // tokens
 	stream      bool
+	attempts    int // made so far
 	fields      map[string]json.RawMessage
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -281,9 +281,25 @@
 		}
 		qt.Assert(t, json.Unmarshal(answer, &whole), qt.IsNil)
 		qt.Assert(t, whole.Usage.Tokens, qt.Equals, 600)
+		assertAsksDiffer(t, d, 2)
 	})
 }
 
+// Asserts that a node asked for n places or more, under different ids.
+func assertAsksDiffer(t *testing.T, d *local.Deployment, n int) {
+	t.Helper()
+	asks := map[string]int{}
+	for _, e := range d.Nodes[0].Daemon().Trace().After(0) {
+		if e.Kind == "ask" {
+			asks[e.Request]++
+		}
+	}
+	qt.Assert(t, len(asks) >= n, qt.IsTrue, qt.Commentf("%v", asks))
+	for id, count := range asks {
+		qt.Assert(t, count, qt.Equals, 1, qt.Commentf("attempt %s", id))
+	}
+}
+
 // Kills the engine that is making tokens.
 func killBusy(d *local.Deployment) error {
 	for {
