Charge once, look a shard up in one place, and leave idle shards alone

Found by reading the whole change: the cost of a queued request was computed twice, the lookup of a shard stood twice, a Tick copied every idle shard, the name of a chat's service was kept beside the service, and the retry of attempts stood in another file. Behaviour and tests are unchanged.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -28,6 +28,7 @@
 	"github.com/benbjohnson/immutable"
 	"github.com/plantaindeck/plantaindeck/guess"
 	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/shard"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
@@ -75,6 +76,16 @@
 	return &next
 }
 
+// Returns a shard, which is new if this node has not heard of it.
+func (b *Book) shard(now time.Time, service string, index uint32) (key string, sh *Shard) {
+	key = shard.Key(service, int(index))
+	sh, ok := b.shards[key]
+	if !ok {
+		sh = newShard(now, service, int(index))
+	}
+	return key, sh
+}
+
 // Shards returns the shards by key. The caller must not change the map.
 func (b *Book) Shards() map[string]*Shard {
 	return b.shards
@@ -245,7 +256,7 @@
 
 func (sh *Shard) withWaiting(w waiting) *Shard {
 	w.charged = sh.expectedCost(w.ask)
-	next, start := sh.withCharge(w.ask, w.share)
+	next, start := sh.withCharge(w.ask.GetWorkspace(), w.charged, w.share)
 	next.seq++
 	at := place{priority: w.priority, start: start, seq: next.seq}
 	next.queue = sh.queue.Set(at, w)
--- a/admit/share.go
+++ b/admit/share.go
@@ -34,17 +34,17 @@
 	adjust float64 // to be added to its next charge
 }
 
-// Charges a workspace, and returns the virtual time at which its request may
+// Charges a workspace for a request, and returns the virtual time at which its request may
 // start. Virtual time moves with the work that is granted, so a workspace that
 // asked for little is ahead of one that used more than its share, whatever the
 // number of their requests. The times of one workspace's requests never
 // decrease, so that they keep their order.
-func (sh *Shard) withCharge(a *wire.Ask, share int) (*Shard, float64) {
+func (sh *Shard) withCharge(workspace string, cost float64, share int) (*Shard, float64) {
 	next := *sh
-	acc, _ := sh.accounts.Get(a.GetWorkspace())
+	acc, _ := sh.accounts.Get(workspace)
 	start := max(sh.virtual, acc.paid)
-	charge := sh.expectedCost(a)/float64(max(1, share)) + acc.adjust
-	next.accounts = sh.accounts.Set(a.GetWorkspace(), account{paid: start + max(0, charge), adjust: min(0, charge)})
+	charge := cost/float64(max(1, share)) + acc.adjust
+	next.accounts = sh.accounts.Set(workspace, account{paid: start + max(0, charge), adjust: min(0, charge)})
 	return &next, start
 }
 
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -46,6 +46,9 @@
 // workspace that is over its share are the last of their priority, so they are
 // the first to go.
 func (sh *Shard) shed(now time.Time) (*Shard, []kernel.Effect) {
+	if sh.queue.Len() == 0 && sh.paces.Len() == 0 {
+		return sh, nil
+	}
 	next := sh
 	var effects []kernel.Effect
 	queued := map[int]int{}
--- a/admit/step.go
+++ b/admit/step.go
@@ -76,11 +76,7 @@
 
 // Applies a change to a shard and grants the places that it made free.
 func (b *Book) change(now time.Time, s kernel.State, service string, index uint32, change func(*Shard) *Shard) (*Book, []kernel.Effect) {
-	key := shard.Key(service, int(index))
-	sh, ok := b.shards[key]
-	if !ok {
-		sh = newShard(now, service, int(index))
-	}
+	key, sh := b.shard(now, service, index)
 	weigh, list := inForce(s, service, int(index))
 	next, effects := change(sh).fill(now, epoch(s), weigh, b.usable(list))
 	return b.with(key, next), effects
@@ -96,11 +92,7 @@
 }
 
 func (b *Book) ask(now time.Time, s kernel.State, from string, a *wire.Ask) (*Book, []kernel.Effect) {
-	key := shard.Key(a.GetService(), int(a.GetShard()))
-	sh, ok := b.shards[key]
-	if !ok {
-		sh = newShard(now, a.GetService(), int(a.GetShard()))
-	}
+	key, sh := b.shard(now, a.GetService(), a.GetShard())
 	if _, ok := sh.granted.Get(a.GetRequest()); ok {
 		return b, []kernel.Effect{sh.grantEffect(epoch(s), a.GetRequest())}
 	}
--- a/front/attach.go
+++ b/front/attach.go
@@ -14,6 +14,7 @@
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/policy"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/plantaindeck/plantaindeck/trace"
 	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
@@ -121,7 +122,7 @@
 }
 
 func (f *Front) attach(ctx *fasthttp.RequestCtx, t ticket, last int) *apierr.Error {
-	addr, ok := f.endpoint(t.Service, t.Endpoint)
+	svc, addr, ok := f.endpoint(t.Service, t.Endpoint)
 	if !ok {
 		return apierr.Unknown(fasthttp.StatusBadGateway, apierr.CodeLost, "endpoint %q is no longer in the document", t.Endpoint).WithOutcome(apierr.OutcomeRan)
 	}
@@ -132,23 +133,24 @@
 	}
 	f.cfg.Daemon.Record(trace.Entry{Kind: "reattach", Request: t.Request, Workspace: t.Workspace, Endpoint: t.Endpoint, Detail: "after token " + itoa(last)})
 	a := attempt{request: t.Request, place: kernel.Place{Endpoint: t.Endpoint, Addr: addr}, stream: stream}
-	c := &chat{id: t.Request, who: policy.Identity{Team: t.Team, Workspace: t.Workspace}, serviceName: t.Service}
+	c := &chat{id: t.Request, who: policy.Identity{Team: t.Team, Workspace: t.Workspace}, service: svc}
 	f.stream(ctx, &body{front: f, chat: c, attempt: a, meter: f.meter(t.Request), attached: true})
 	return nil
 }
 
-// Returns the address of an endpoint in the document in force.
-func (f *Front) endpoint(service, name string) (string, bool) {
-	svc, _, ok := f.policy().Service(service)
+// Returns a service and the address of one of its endpoints, by the document in
+// force.
+func (f *Front) endpoint(service, name string) (svc *spec.Service, addr string, ok bool) {
+	svc, _, ok = f.policy().Service(service)
 	if !ok {
-		return "", false
+		return nil, "", false
 	}
 	for _, e := range svc.Endpoints {
 		if e.Name == name {
-			return e.Addr, true
+			return svc, e.Addr, true
 		}
 	}
-	return "", false
+	return nil, "", false
 }
 
 // Waits for a caller that left to come back, through this node or another one.
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -8,10 +8,15 @@
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/retry"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
 
-const maxAttempts = 4
+const (
+	maxAttempts = 4
+	retryPause  = 50 * time.Millisecond // before the second attempt; doubles
+)
 
 // attempt is a generation that has made its first token.
 type attempt struct {
@@ -122,3 +127,24 @@
 		return errors.Wrapf(err, "cancel %s", a.request)
 	})
 }
+
+// Counts a fresh request for the retry budget.
+func (f *Front) fresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget = f.budget.WithFresh()
+}
+
+// Reports whether attempt n may be followed by another one, after a pause with
+// jitter.
+func (f *Front) mayRetry(n int) bool {
+	if n >= maxAttempts {
+		return false
+	}
+	f.mu.Lock()
+	var ok bool
+	f.budget, ok = f.budget.WithRetry()
+	pause := retry.Jitter(f.rand, retryPause<<(n-1))
+	f.mu.Unlock()
+	return ok && wait.For(f.ctx, pause)
+}
--- a/front/chat.go
+++ b/front/chat.go
@@ -23,19 +23,18 @@
 // chat is a chat/completions request as the front understands it. Fields that
 // it does not know pass through to the engine.
 type chat struct {
-	id          string
-	service     *spec.Service
-	serviceName string
-	class       *spec.Class
-	model       string
-	who         policy.Identity
-	caller      string
-	prompt      int // tokens
-	prefix      uint64
-	limit       int // tokens
-	stream      bool
-	attempts    int // made so far
-	fields      map[string]json.RawMessage
+	id       string
+	service  *spec.Service
+	class    *spec.Class
+	model    string
+	who      policy.Identity
+	caller   string
+	prompt   int // tokens
+	prefix   uint64
+	limit    int // tokens
+	stream   bool
+	attempts int // made so far
+	fields   map[string]json.RawMessage
 }
 
 // chatFields is the part of the body that the front reads.
@@ -97,7 +96,6 @@
 		return nil, fail
 	}
 	c.service = svc
-	c.serviceName = name
 	if fail := c.pick(model, in.Tier); fail != nil {
 		return nil, fail
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -24,7 +24,6 @@
 	"github.com/plantaindeck/plantaindeck/retry"
 	"github.com/plantaindeck/plantaindeck/route"
 	"github.com/plantaindeck/plantaindeck/spec"
-	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
 
@@ -264,29 +263,6 @@
 	return "", apierr.NotRun(fasthttp.StatusUnauthorized, apierr.CodeUnauthorized, "the key belongs to no operator")
 }
 
-const retryPause = 50 * time.Millisecond // before the second attempt; doubles
-
-// Counts a fresh request for the retry budget.
-func (f *Front) fresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget = f.budget.WithFresh()
-}
-
-// Reports whether attempt n may be followed by another one, after a pause with
-// jitter.
-func (f *Front) mayRetry(n int) bool {
-	if n >= maxAttempts {
-		return false
-	}
-	f.mu.Lock()
-	var ok bool
-	f.budget, ok = f.budget.WithRetry()
-	pause := retry.Jitter(f.rand, retryPause<<(n-1))
-	f.mu.Unlock()
-	return ok && wait.For(f.ctx, pause)
-}
-
 func writeJSON(ctx *fasthttp.RequestCtx, v any) *apierr.Error {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/front/stream.go
+++ b/front/stream.go
@@ -141,7 +141,7 @@
 	if !b.attached {
 		b.front.cfg.Daemon.Ended(e)
 	}
-	b.front.completed(b.chat.serviceName)
+	b.front.completed(b.chat.service.Name)
 	b.front.record(b.chat, "complete", "")
 }
 
