--- a/front/attach_test.go
+++ b/front/attach_test.go
@@ -49,6 +49,23 @@
 	qt.Assert(t, d.Engines[0].Counts().Started, qt.Equals, 1, qt.Commentf("no second generation may run"))
 }
 
+// A caller that holds the address of a node which is gone calls another one.
+func TestHeldAddressOfADeadNode(t *testing.T) {
+	d := start(t, local.Config{Nodes: 2, Engines: 1, Services: 1})
+	c := d.Client("w1")
+	stock := client.Request{Method: "GET", Path: "/v1/services/orders/stock", Idempotent: true}
+	first, err := c.Do(context.Background(), stock)
+	qt.Assert(t, err, qt.IsNil)
+	for i := range d.Nodes {
+		if d.Front(i) == first.Addr {
+			qt.Assert(t, d.KillNode(i), qt.IsNil)
+		}
+	}
+	second, err := c.Do(context.Background(), stock)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second.Addr, qt.Not(qt.Equals), first.Addr)
+}
+
 // Opens a stream, reads its first part and drops the connection. It returns the
 // reattach token and the ids that came.
 func openAndLeave(t *testing.T, d *local.Deployment, tokens int) (string, []string) {
