--- a/deploy/deploy_test.go
+++ b/assign/assign_test.go
@@ -1,4 +1,4 @@
-package deploy_test
+package assign_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/plantaindeck/plantaindeck/deploy"
+	"github.com/plantaindeck/plantaindeck/assign"
 	"github.com/plantaindeck/plantaindeck/fakes"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/policy"
@@ -20,21 +20,21 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestNext(t *testing.T) {
-	v := func(model, version string) deploy.Loaded { return deploy.Loaded{Model: model, Version: version} }
+	v := func(model, version string) assign.Loaded { return assign.Loaded{Model: model, Version: version} }
 	tests := []struct {
 		name           string
-		wanted, loaded []deploy.Loaded
+		wanted, loaded []assign.Loaded
 		kind, model    string
 	}{
-		{"all there", []deploy.Loaded{v("m", "1")}, []deploy.Loaded{v("m", "1")}, "", ""},
-		{"missing", []deploy.Loaded{v("m", "1")}, nil, "load", "m"},
-		{"old version", []deploy.Loaded{v("m", "2")}, []deploy.Loaded{v("m", "1")}, "load", "m"},
-		{"load before unload", []deploy.Loaded{v("n", "1")}, []deploy.Loaded{v("m", "1")}, "load", "n"},
-		{"no longer wanted", []deploy.Loaded{v("n", "1")}, []deploy.Loaded{v("m", "1"), v("n", "1")}, "unload", "m"},
+		{"all there", []assign.Loaded{v("m", "1")}, []assign.Loaded{v("m", "1")}, "", ""},
+		{"missing", []assign.Loaded{v("m", "1")}, nil, "load", "m"},
+		{"old version", []assign.Loaded{v("m", "2")}, []assign.Loaded{v("m", "1")}, "load", "m"},
+		{"load before unload", []assign.Loaded{v("n", "1")}, []assign.Loaded{v("m", "1")}, "load", "n"},
+		{"no longer wanted", []assign.Loaded{v("n", "1")}, []assign.Loaded{v("m", "1"), v("n", "1")}, "unload", "m"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, _ := deploy.Next(test.wanted, test.loaded)
+			c, _ := assign.Next(test.wanted, test.loaded)
 			qt.Assert(t, c.Kind, qt.Equals, test.kind)
 			qt.Assert(t, c.Model, qt.Equals, test.model)
 		})
@@ -47,7 +47,7 @@
 	kv     *fakes.KV
 	engine *fakes.Engine
 	clocks [2]time.Time
-	nodes  [2]*deploy.Runner
+	nodes  [2]*assign.Runner
 	store  *store.Client
 }
 
@@ -62,7 +62,7 @@
 	t.Cleanup(func() { _ = r.kv.Kill(); _ = r.engine.Kill() })
 	r.store = store.NewClient(store.Config{Addr: r.kv.Addr(), Timeout: time.Second})
 	for i := range r.nodes {
-		r.nodes[i] = deploy.New(deploy.Config{
+		r.nodes[i] = assign.New(assign.Config{
 			Store: r.store,
 			State: r.state([]string{"a", "b"}[i], fencing),
 			Now:   func() time.Time { return r.clocks[i] },
--- a/deploy/plan.go
+++ b/assign/plan.go
@@ -1,4 +1,4 @@
-// Package deploy brings engines to the models, adapters and versions that the
+// Package assign brings engines to the models, adapters and versions that the
 // documents want, by commands.
 //
 // For each service one node holds the right to command its engines, as a lease
@@ -12,7 +12,7 @@
 //   - Every command carries the hold's fencing token.
 //   - In an outage of the key-value service the hold ends, and no new command
 //     is sent; serving goes on with what is loaded.
-package deploy
+package assign
 
 import (
 	"cmp"
--- a/deploy/run.go
+++ b/assign/run.go
@@ -1,4 +1,4 @@
-package deploy
+package assign
 
 import (
 	"context"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 
 	// The plug-ins register themselves.
 	_ "github.com/plantaindeck/plantaindeck/admit"
+	_ "github.com/plantaindeck/plantaindeck/fleet"
 	_ "github.com/plantaindeck/plantaindeck/member"
 	_ "github.com/plantaindeck/plantaindeck/policy"
 	_ "github.com/plantaindeck/plantaindeck/route"
@@ -45,11 +46,12 @@
 	Cluster string
 	Seed    uint64
 	TLS     *tls.Config
-	Store   store.Store
-	Hosts   string // address of the list of hosts
+	Store   store.Store // nil where no documents are kept
+	Hosts   string      // address of the list of hosts; empty where Post brings it
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Trace   *trace.Recorder
 	Metrics *metrics.Set
+	Leave   func(endpoint string) // called when an endpoint is heard to be leaving; may be nil
 }
 
 // Daemon drives one node.
@@ -80,7 +82,6 @@
 func New(ctx context.Context, cfg Config) (*Daemon, error) {
 	d := &Daemon{
 		cfg:     cfg,
-		editor:  editor.New(cfg.Store),
 		http:    &fasthttp.Client{MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true},
 		events:  make(chan kernel.Event, eventQueue),
 		waiting: map[string]chan verdict{},
@@ -88,6 +89,9 @@
 		steps:   cfg.Metrics.GetOrCreateCounter("plantaindeck_kernel_steps_total"),
 		busy:    cfg.Metrics.GetOrCreateFloatCounter("plantaindeck_kernel_busy_seconds_total"),
 	}
+	if cfg.Store != nil {
+		d.editor = editor.New(cfg.Store)
+	}
 	first := kernel.New(kernel.Config{Self: cfg.Self, Seed: cfg.Seed})
 	d.state.Store(&first)
 	var err error
@@ -131,6 +135,11 @@
 	return fmt.Sprintf("%s-%x-%d", d.cfg.Self.GetId(), d.cfg.Self.GetIncarnation(), d.counter.Add(1))
 }
 
+// Post gives an event to the kernel.
+func (d *Daemon) Post(ctx context.Context, e kernel.Event) {
+	d.post(ctx, e)
+}
+
 func (d *Daemon) post(ctx context.Context, e kernel.Event) {
 	select {
 	case d.events <- e:
@@ -143,7 +152,10 @@
 // nodes.
 func (d *Daemon) Run(ctx context.Context) error {
 	accepting := d.net.Run()
-	listing := d.listHosts(ctx)
+	var listing <-chan error
+	if d.cfg.Hosts != "" {
+		listing = d.listHosts(ctx)
+	}
 	loading := d.readLoads(ctx)
 	ticker := time.NewTicker(kernel.TickPeriod)
 	defer ticker.Stop()
@@ -160,6 +172,9 @@
 	d.net.Close()
 	d.jobs.Wait()
 	for _, done := range []<-chan error{listing, loading, accepting} {
+		if done == nil {
+			continue
+		}
 		if err := <-done; err != nil {
 			return err
 		}
@@ -199,6 +214,10 @@
 		d.cfg.Trace.Add(now, trace.Entry{
 			Kind: f.Kind, Request: f.Request, Workspace: f.Workspace, Endpoint: f.Endpoint, Detail: f.Detail,
 		})
+	case kernel.Leave:
+		if d.cfg.Leave != nil {
+			d.cfg.Leave(f.Endpoint)
+		}
 	case kernel.Raise:
 		// The kernel keeps these to itself.
 	}
@@ -290,6 +309,9 @@
 
 // Reads the documents that changed, in the background.
 func (d *Daemon) readStore(ctx context.Context, cursor int64) {
+	if d.editor == nil {
+		return
+	}
 	d.jobs.Add(1)
 	go func() {
 		defer d.jobs.Done()
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/relay"
+)
+
+const (
+	plainConnect = 150 * time.Millisecond // a connection within a region takes a few milliseconds
+	maxPlain     = 8 << 20                // bytes of a plain answer
+	maxRefusals  = 4                      // endpoints that may refuse a request before the caller is told
+)
+
+// reply is an endpoint's whole answer.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Serves a request to a plain service. The answer is read whole before the
+// caller gets any of it, so that a broken one can be replaced by another run
+// where the route allows that.
+func (s *Server) call(ctx context.Context, l *life, out Answer) *apierr.Error {
+	var last *reply
+	var cause error
+	runs, refusals := 0, 0
+	for ctx.Err() == nil {
+		e, ok := s.choose(l.service, 0, l.tried...)
+		if !ok || runs+refusals > 0 && !s.mayRepeat(l) {
+			break
+		}
+		l.tried = append(l.tried, e.ID)
+		r, err := s.once(ctx, l, e)
+		if err == nil && (r.status < http.StatusInternalServerError || !l.route.Repeatable()) {
+			out.Start(r.status, r.header, int64(len(r.body)))
+			return s.deliver(out, r.body)
+		}
+		cause = err
+		var refused *relay.RefusedError
+		var notSent *relay.NotSentError
+		switch {
+		case errors.As(err, &notSent):
+			continue
+		case errors.As(err, &refused):
+			if refusals++; refusals >= maxRefusals {
+				return l.giveUp(ctx, cause)
+			}
+			continue
+		case err == nil:
+			last = r
+		}
+		l.sent = true
+		if runs++; !l.route.Repeatable() || runs >= l.route.Attempts {
+			break
+		}
+		s.record("retry", l.req, e.ID, "an idempotent call failed")
+	}
+	if last != nil {
+		out.Start(last.status, last.header, int64(len(last.body)))
+		return s.deliver(out, last.body)
+	}
+	return l.giveUp(ctx, cause)
+}
+
+func (s *Server) deliver(out Answer, body []byte) *apierr.Error {
+	if err := out.Write(body); err != nil {
+		out.Abort()
+	}
+	return nil
+}
+
+// Sends a call to one endpoint.
+func (s *Server) once(ctx context.Context, l *life, e fleet.Endpoint) (*reply, error) {
+	s.take(e.ID, 1, 0)
+	defer s.take(e.ID, -1, 0)
+	a := s.attempt(l, e)
+	raw := s.cfg.Dialect.Encode(a)
+	raw.Connect = plainConnect
+	ex, err := s.cfg.Relay.Exchange(ctx, raw)
+	if err != nil {
+		s.failed(ctx, e, err)
+		return nil, err
+	}
+	defer ex.Close()
+	if err := s.check(a, ex); err != nil {
+		s.failed(ctx, e, err)
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(ex, maxPlain+1))
+	if err == nil && len(body) > maxPlain {
+		err = errors.Errorf("answer has more than %d bytes", maxPlain)
+	}
+	if err != nil {
+		err = &relay.LostError{Addr: e.Addr, Err: err}
+		s.failed(ctx, e, err)
+		return nil, err
+	}
+	s.outcome(e.ID, ex.Status < http.StatusInternalServerError)
+	return &reply{status: ex.Status, header: s.cfg.Dialect.Answer(ex.Header), body: body}, nil
+}
+
+// Notes that an endpoint failed, unless it was the caller who ended the
+// request.
+func (s *Server) failed(ctx context.Context, e fleet.Endpoint, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	s.outcome(e.ID, false)
+}
+
+// Returns what an endpoint is sent.
+func (s *Server) attempt(l *life, e fleet.Endpoint) Attempt {
+	return Attempt{
+		Request:   l.req,
+		Endpoint:  e,
+		Workspace: l.workspace,
+		Priority:  l.priority,
+		Left:      time.Until(l.deadline),
+		Last:      l.req.Last,
+	}
+}
+
+// Reports an error unless the answer is the endpoint's word on this request.
+func (s *Server) check(a Attempt, ex *relay.Reply) error {
+	v := s.cfg.Dialect.Verdict(a, ex.Status, ex.Header)
+	switch {
+	case v.Foreign:
+		return &relay.LostError{Addr: a.Endpoint.Addr, Err: errors.New("the answer belongs to another request")}
+	case v.NotRun:
+		return &relay.RefusedError{Addr: a.Endpoint.Addr, Status: ex.Status, Leaving: v.Leaving || v.Moved}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,324 @@
+// Package entry carries a request through its life on the node that received
+// it: route, key, deadline, place, attempts, outcome, stream.
+//
+// It knows neither the caller's nor the endpoints' protocol. An Answer gives
+// it the way back to the caller, a Dialect the form in which endpoints are
+// spoken to. Which endpoint is used is decided by package place, whether a
+// generation stays on an engine that leaves by package move.
+//
+// Invariants:
+//   - A request whose route does not allow repeats is sent again only after a
+//     proof that it has not run, or as the continuation of the same run.
+//   - A final answer that promises "not run" is given only where no endpoint
+//     was handed the request, or every one that was has said so.
+//   - Events of a stream reach the caller in order, each once, whole.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/daemon"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/retry"
+	"github.com/plantaindeck/plantaindeck/table"
+	"github.com/plantaindeck/plantaindeck/trace"
+)
+
+const (
+	unreadyRetry = 300 * time.Millisecond // a node that knows no table yet expects one within this time
+	fullRetry    = 400 * time.Millisecond // for a place to become free
+	reportPeriod = 100 * time.Millisecond // between two reports of what runs to the kernel
+)
+
+// Request is one request of a caller.
+type Request struct {
+	ID      string
+	Method  string
+	Host    string // as sent, perhaps with a port
+	Path    string // selects the route
+	URI     string // path and query as sent
+	Header  http.Header
+	Body    []byte
+	Key     string
+	Wait    time.Duration // how long the caller waits; zero if it does not say
+	Prompt  int           // prompt tokens of a generation
+	Output  int           // most output tokens
+	Hint    int           // output tokens that the caller expects; zero if it does not say
+	Last    string        // id of the last event that the caller has
+	Arrived time.Time
+}
+
+// Answer is the way back to a caller.
+type Answer interface {
+	// Start sends the status and header. Length is -1 if it is not known.
+	Start(status int, h http.Header, length int64)
+	// Write sends a part of the body at once.
+	Write(p []byte) error
+	// Abort ends an answer so that it cannot look complete.
+	Abort()
+}
+
+// Copy names KV-cache memory of a run on an engine.
+type Copy struct {
+	Addr string // of the engine that the copy is asked from
+	Name string
+}
+
+// Attempt is what an endpoint is sent.
+type Attempt struct {
+	Request   *Request
+	Endpoint  fleet.Endpoint
+	Workspace string // empty on public routes
+	Priority  int
+	Left      time.Duration // until the caller or the route gives up
+	Backup    string        // address of the engine that keeps a copy of the run
+	From      *Copy         // memory to go on from
+	Last      string        // id of the last event that the caller has
+}
+
+// Verdict is what an endpoint's answer says of the request.
+type Verdict struct {
+	NotRun  bool // the endpoint did not run it and will not
+	Foreign bool // the answer belongs to another request
+	Moved   bool // another server has the endpoint's address
+	Leaving bool // the endpoint closes its connections
+}
+
+// Dialect is the form in which endpoints are spoken to.
+type Dialect interface {
+	Encode(a Attempt) relay.Raw
+	Verdict(a Attempt, status int, h http.Header) Verdict
+	// Answer returns the header that the caller gets.
+	Answer(h http.Header) http.Header
+}
+
+// Config describes a server.
+type Config struct {
+	Daemon  *daemon.Daemon
+	Relay   *relay.Client
+	Dialect Dialect
+	Centre  string
+	Seed    uint64
+	Budget  retry.Limit
+}
+
+// Server serves the requests of one node.
+type Server struct {
+	cfg    Config
+	mu     sync.Mutex
+	rand   *rand.Rand
+	ledger *ledger
+	retry  map[string]*retry.Window // by service
+	runs   map[*run]bool
+	active int
+	until  time.Time // answers must have ended; zero while not stopping
+}
+
+// New returns a server.
+func New(cfg Config) *Server {
+	return &Server{
+		cfg:    cfg,
+		rand:   rand.New(rand.NewPCG(cfg.Seed, 7)),
+		ledger: newLedger(),
+		retry:  map[string]*retry.Window{},
+		runs:   map[*run]bool{},
+	}
+}
+
+// Run reports what runs on endpoints to the kernel until ctx ends.
+func (s *Server) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		t := time.NewTicker(reportPeriod)
+		defer t.Stop()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case now := <-t.C:
+				if event, changed := s.used(now); changed {
+					s.cfg.Daemon.Post(ctx, event)
+				}
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// Active returns the number of requests without a final answer.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// Stop says that every answer must have ended at the given time. Requests that
+// are expected to last longer are refused from now on.
+func (s *Server) Stop(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = until
+}
+
+func (s *Server) view() *fleet.View {
+	return fleet.Of(s.cfg.Daemon.State())
+}
+
+// Serve carries a request to its final answer. A returned error is the final
+// answer where nothing has been sent to the caller.
+func (s *Server) Serve(ctx context.Context, req *Request, out Answer) *apierr.Error {
+	s.mu.Lock()
+	s.active++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.active--
+		s.mu.Unlock()
+	}()
+	err := s.serve(ctx, req, out)
+	if err != nil {
+		err = err.WithRequest(req.ID)
+		s.record("failed", req, "", err.Error())
+	}
+	return err
+}
+
+func (s *Server) serve(ctx context.Context, req *Request, out Answer) *apierr.Error {
+	view := s.view()
+	if !view.Ready() {
+		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node has not learned the routing table yet").WithRetry(unreadyRetry)
+	}
+	l, fail := s.admit(view, req)
+	if fail != nil {
+		return fail
+	}
+	ctx, cancel := context.WithDeadline(ctx, l.deadline)
+	defer cancel()
+	s.window(l.service.Name).Fresh(req.Arrived)
+	if l.route.Kind == table.KindStream {
+		return s.stream(ctx, l, out)
+	}
+	return s.call(ctx, l, out)
+}
+
+// life is a request with what the table says of it.
+type life struct {
+	req       *Request
+	route     *table.Route
+	service   *table.Service
+	workspace string
+	priority  int
+	deadline  time.Time
+	sent      bool // an endpoint was handed the request and has not said that it did not run it
+	tried     []string
+}
+
+// Finds the route and the holder of the key.
+func (s *Server) admit(view *fleet.View, req *Request) (*life, *apierr.Error) {
+	t := view.Table()
+	host, _, _ := strings.Cut(req.Host, ":")
+	route, ok := t.Match(host, req.Path)
+	if !ok {
+		return nil, apierr.NotRun(http.StatusNotFound, apierr.CodeNotFound, "no route for host %q and path %q", req.Host, req.Path)
+	}
+	l := &life{req: req, route: route, priority: route.Priority}
+	if t.NeedsKey(route) {
+		w, ok := t.Identify(req.Key)
+		if !ok {
+			return nil, apierr.NotRun(http.StatusUnauthorized, apierr.CodeUnauthorized, "the key belongs to no workspace")
+		}
+		l.workspace = w.Name
+		if w.Ranked {
+			l.priority = w.Priority
+		}
+	}
+	s.mu.Lock()
+	point := s.rand.Float64()
+	until := s.until
+	s.mu.Unlock()
+	l.service, ok = t.Service(route.Service(point))
+	if !ok {
+		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeNoService, "route %q names no known service", route.Name).WithRetry(fullRetry)
+	}
+	wait := req.Wait
+	if route.Timeout > 0 && (wait == 0 || route.Timeout < wait) {
+		wait = route.Timeout
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	l.deadline = req.Arrived.Add(wait)
+	if !until.IsZero() && req.Arrived.Add(l.expected()).After(until) {
+		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node is stopping").WithRetry(time.Millisecond)
+	}
+	return l, nil
+}
+
+const (
+	defaultWait  = 60 * time.Second       // of a caller and a route that name no limit
+	tokenTime    = 10 * time.Millisecond  // of a token on an engine with a usual batch
+	prefillTime  = 300 * time.Millisecond // before the first token
+	plainTime    = 500 * time.Millisecond // of a plain service's slower answers
+	timeoutRetry = 500 * time.Millisecond
+)
+
+// Returns how long the answer is expected to take.
+func (l *life) expected() time.Duration {
+	if l.route.Kind != table.KindStream {
+		return plainTime
+	}
+	return prefillTime + time.Duration(l.output())*tokenTime
+}
+
+// Returns the expected number of output tokens.
+func (l *life) output() int {
+	if l.req.Hint > 0 && (l.req.Output == 0 || l.req.Hint < l.req.Output) {
+		return l.req.Hint
+	}
+	return l.req.Output
+}
+
+func (s *Server) window(service string) *retry.Window {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.retry[service]
+	if !ok {
+		w = retry.NewWindow(time.Now(), s.cfg.Budget)
+		s.retry[service] = w
+	}
+	return w
+}
+
+// Reports whether one more arrival beyond a request's first fits the budget
+// that all nodes share.
+func (s *Server) mayRepeat(l *life) bool {
+	nodes := member.Of(s.cfg.Daemon.State()).Len()
+	return s.window(l.service.Name).Allow(time.Now(), nodes)
+}
+
+func (s *Server) record(kind string, req *Request, endpoint, detail string) {
+	s.cfg.Daemon.Record(trace.Entry{Kind: kind, Request: req.ID, Endpoint: endpoint, Detail: detail})
+}
+
+// Returns the final answer to a request that got none from an endpoint.
+func (l *life) giveUp(ctx context.Context, cause error) *apierr.Error {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case !l.sent && expired:
+		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeDeadline, "no endpoint of %q took the request in time", l.service.Name).WithRetry(timeoutRetry)
+	case !l.sent:
+		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q took the request: %v", l.service.Name, cause).WithRetry(fullRetry)
+	case expired:
+		return apierr.Unknown(http.StatusGatewayTimeout, apierr.CodeDeadline, "the answer did not come in time")
+	}
+	return apierr.Unknown(http.StatusBadGateway, apierr.CodeLost, "the answer was lost: %v", cause)
+}
--- /dev/null
+++ b/entry/ledger.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/place"
+	"github.com/plantaindeck/plantaindeck/table"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+const (
+	failLife   = 2 * time.Second // time in which an outcome loses all but 1/e of its weight
+	failPrior  = 1.0             // successes that an endpoint without a history is credited with
+	forgetIdle = time.Minute     // an unused endpoint is dropped from the ledger
+)
+
+// ledger counts what this node runs on each endpoint and how that went.
+type ledger struct {
+	entries map[string]*account
+	changed bool
+}
+
+// account is one endpoint's part of the ledger.
+type account struct {
+	requests int
+	tokens   int
+	good     float64 // decayed count of successes
+	bad      float64 // decayed count of failures
+	at       time.Time
+}
+
+func newLedger() *ledger {
+	return &ledger{entries: map[string]*account{}}
+}
+
+func (l *ledger) get(id string) *account {
+	a, ok := l.entries[id]
+	if !ok {
+		a = &account{}
+		l.entries[id] = a
+	}
+	return a
+}
+
+func (l *ledger) add(now time.Time, id string, requests, tokens int) {
+	a := l.get(id)
+	a.requests += requests
+	a.tokens += tokens
+	a.decay(now)
+	l.changed = true
+}
+
+func (a *account) decay(now time.Time) {
+	if age := now.Sub(a.at); age > 0 {
+		f := math.Exp(-float64(age) / float64(failLife))
+		a.good *= f
+		a.bad *= f
+		a.at = now
+	}
+}
+
+func (l *ledger) outcome(now time.Time, id string, ok bool) {
+	a := l.get(id)
+	a.decay(now)
+	if ok {
+		a.good++
+	} else {
+		a.bad++
+	}
+}
+
+// Returns the share of an endpoint's recent requests that failed.
+func (l *ledger) failing(now time.Time, id string) float64 {
+	a, ok := l.entries[id]
+	if !ok {
+		return 0
+	}
+	a.decay(now)
+	return a.bad / (a.good + a.bad + failPrior)
+}
+
+// Adds to what runs on an endpoint.
+func (s *Server) take(id string, requests, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.add(time.Now(), id, requests, tokens)
+}
+
+func (s *Server) outcome(id string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.outcome(time.Now(), id, ok)
+}
+
+// Returns what this node runs on endpoints, and whether that has changed.
+func (s *Server) used(now time.Time) (kernel.Used, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ledger.changed {
+		return kernel.Used{}, false
+	}
+	s.ledger.changed = false
+	var e kernel.Used
+	for id, a := range s.ledger.entries {
+		if a.requests > 0 || a.tokens > 0 {
+			e.Uses = append(e.Uses, &wire.Use{Endpoint: id, Requests: uint32(max(a.requests, 0)), Tokens: uint32(max(a.tokens, 0))})
+		} else if now.Sub(a.at) > forgetIdle {
+			delete(s.ledger.entries, id)
+		}
+	}
+	return e, true
+}
+
+// Chooses an endpoint of the service that is neither leaving nor in avoid.
+func (s *Server) choose(svc *table.Service, need int, avoid ...string) (fleet.Endpoint, bool) {
+	view := s.view()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var usable []fleet.Endpoint
+	var list []place.Candidate
+	for _, e := range view.Endpoints(svc.Name) {
+		if e.Leaving || slices.Contains(avoid, e.ID) {
+			continue
+		}
+		usable = append(usable, e)
+		list = append(list, s.candidate(now, view, svc, e))
+	}
+	i, ok := place.Choose(place.Need{Tokens: need}, list, s.rand)
+	if !ok {
+		return fleet.Endpoint{}, false
+	}
+	return usable[i], true
+}
+
+func (s *Server) candidate(now time.Time, view *fleet.View, svc *table.Service, e fleet.Endpoint) place.Candidate {
+	other := view.Elsewhere(e.ID)
+	c := place.Candidate{
+		ID:       e.ID,
+		Near:     e.Centre == s.cfg.Centre,
+		Slots:    e.Slots,
+		Requests: other.Requests,
+		Tokens:   other.Tokens,
+		Failing:  s.ledger.failing(now, e.ID),
+	}
+	if a, ok := s.ledger.entries[e.ID]; ok {
+		c.Requests += a.requests
+		c.Tokens += a.tokens
+	}
+	if svc.Engine != nil {
+		c.Memory = svc.Engine.Memory
+	}
+	return c
+}
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,263 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/relay"
+)
+
+const (
+	engineConnect = 300 * time.Millisecond // an engine that is cut off is left after this time
+	maxContinue   = 8                      // continuations of one stream
+)
+
+// run is a generation on its way to the caller.
+type run struct {
+	server   *Server
+	life     *life
+	out      Answer
+	ctx      context.Context
+	endpoint fleet.Endpoint
+	backup   fleet.Endpoint // keeps a copy of the run; no ID for none
+	from     *Copy          // memory that the next attempt goes on from
+	last     string         // id of the last event that the caller has
+	events   int            // that the caller has
+	tokens   int            // memory that the run is expected to need
+	started  bool           // the caller has a header
+	header   http.Header    // of the first endpoint's answer
+	length   int64
+	attempts int
+	refusals int
+	cause    error
+
+	// Guarded by the server's mutex.
+	reply  *relay.Reply // open exchange
+	on     string       // endpoint of the open exchange
+	spare  bool         // another engine keeps a copy
+	moving bool         // the run must leave its engine
+}
+
+// Serves a generation.
+func (s *Server) stream(ctx context.Context, l *life, out Answer) *apierr.Error {
+	r := &run{server: s, life: l, out: out, ctx: ctx, last: l.req.Last, tokens: l.req.Prompt + l.output()}
+	s.mu.Lock()
+	s.runs[r] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.runs, r)
+		s.mu.Unlock()
+	}()
+	for range maxContinue {
+		if ctx.Err() != nil || !r.next() {
+			break
+		}
+		if r.try() {
+			return nil
+		}
+	}
+	if r.started {
+		s.record("broken", l.req, r.endpoint.ID, errorText(r.cause))
+		out.Abort()
+		return nil
+	}
+	return l.giveUp(ctx, r.cause)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "no endpoint can go on with the stream"
+	}
+	return err.Error()
+}
+
+// Finds the endpoint of the next attempt. It reports false when the run cannot
+// go on.
+func (r *run) next() bool {
+	s, l := r.server, r.life
+	if r.attempts+r.refusals > 0 && !s.mayRepeat(l) {
+		return false
+	}
+	if r.attempts > 0 && r.backup.ID != "" {
+		r.from = &Copy{Addr: r.backup.Addr, Name: l.req.ID}
+		r.endpoint, r.backup = r.backup, fleet.Endpoint{}
+		return true
+	}
+	r.from = nil
+	if l.sent && (!l.route.Repeatable() || r.attempts >= l.route.Attempts) {
+		return false
+	}
+	var ok bool
+	r.endpoint, ok = s.choose(l.service, r.tokens, l.tried...)
+	return ok
+}
+
+// Makes one attempt. It reports true when the caller has its final answer or
+// has gone.
+func (r *run) try() bool {
+	s, l := r.server, r.life
+	l.tried = append(l.tried, r.endpoint.ID)
+	s.take(r.endpoint.ID, 1, r.tokens)
+	defer s.take(r.endpoint.ID, -1, -r.tokens)
+	r.chooseBackup()
+	if r.backup.ID != "" {
+		id := r.backup.ID
+		s.take(id, 0, r.tokens)
+		defer s.take(id, 0, -r.tokens)
+	}
+	a := s.attempt(l, r.endpoint)
+	a.Last = r.last
+	a.From = r.from
+	a.Backup = r.backup.Addr
+	raw := s.cfg.Dialect.Encode(a)
+	raw.Connect = engineConnect
+	ex, err := s.cfg.Relay.Exchange(r.ctx, raw)
+	if err != nil {
+		return r.failed(err)
+	}
+	defer ex.Close()
+	if err := s.check(a, ex); err != nil {
+		return r.failed(err)
+	}
+	r.attempts++
+	l.sent = true
+	if r.header == nil {
+		r.header = s.cfg.Dialect.Answer(ex.Header)
+		r.length = ex.Length
+	}
+	if ex.Status != http.StatusOK {
+		return r.pass(ex)
+	}
+	return r.relay(ex)
+}
+
+// Takes in that an attempt ended without an answer. It reports true when the
+// caller has gone.
+func (r *run) failed(err error) bool {
+	r.cause = err
+	r.server.failed(r.ctx, r.endpoint, err)
+	var refused *relay.RefusedError
+	var notSent *relay.NotSentError
+	if errors.As(err, &refused) || errors.As(err, &notSent) {
+		r.refusals++
+		r.backup = fleet.Endpoint{} // which was given nothing to keep
+	} else {
+		r.attempts++
+		r.life.sent = true
+	}
+	r.server.record("attempt-failed", r.life.req, r.endpoint.ID, err.Error())
+	return errors.Is(r.ctx.Err(), context.Canceled)
+}
+
+// Chooses the engine that keeps a copy of the run.
+func (r *run) chooseBackup() {
+	r.backup = fleet.Endpoint{}
+	svc := r.life.service
+	if svc.Engine == nil || !svc.Engine.Backups {
+		return
+	}
+	if e, ok := r.server.choose(svc, r.tokens, r.endpoint.ID); ok {
+		r.backup = e
+	}
+}
+
+// Passes an answer on that is not a stream.
+func (r *run) pass(ex *relay.Reply) bool {
+	s := r.server
+	body, err := io.ReadAll(io.LimitReader(ex, maxPlain))
+	if err != nil {
+		r.cause = &relay.LostError{Addr: r.endpoint.Addr, Err: err}
+		s.failed(r.ctx, r.endpoint, r.cause)
+		return false
+	}
+	s.outcome(r.endpoint.ID, ex.Status < http.StatusInternalServerError)
+	if r.started || ex.Status >= http.StatusInternalServerError && r.life.route.Repeatable() && r.attempts < r.life.route.Attempts {
+		r.cause = errors.Errorf("endpoint %s answered with status %d", r.endpoint.ID, ex.Status)
+		r.header = nil
+		r.backup = fleet.Endpoint{}
+		return false
+	}
+	r.out.Start(ex.Status, s.cfg.Dialect.Answer(ex.Header), int64(len(body)))
+	s.deliver(r.out, body)
+	return true
+}
+
+// Relays events until the stream ends or breaks.
+func (r *run) relay(ex *relay.Reply) bool {
+	s := r.server
+	s.mu.Lock()
+	r.reply, r.on, r.spare, r.moving = ex, r.endpoint.ID, r.backup.ID != "", false
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		r.reply = nil
+		s.mu.Unlock()
+	}()
+	events := relay.NewEventReader(ex)
+	for {
+		e, err := events.Next()
+		if err == nil || errors.Is(err, io.EOF) {
+			if writeErr := r.write(e); writeErr != nil {
+				r.out.Abort()
+				return true
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			s.outcome(r.endpoint.ID, true)
+			return true
+		}
+		if err != nil {
+			r.broke(err)
+			return errors.Is(r.ctx.Err(), context.Canceled)
+		}
+	}
+}
+
+// Gives an event to the caller.
+func (r *run) write(e relay.Event) error {
+	if len(e.Raw) == 0 && r.started {
+		return nil
+	}
+	if !r.started {
+		r.started = true
+		r.out.Start(http.StatusOK, r.header, -1)
+	}
+	if e.ID != "" {
+		r.last = e.ID
+		r.events++
+	}
+	return r.out.Write(e.Raw)
+}
+
+func (r *run) broke(err error) {
+	s := r.server
+	s.mu.Lock()
+	moving := r.moving
+	s.mu.Unlock()
+	r.cause = &relay.LostError{Addr: r.endpoint.Addr, Err: err}
+	if moving {
+		s.record("move", r.life.req, r.endpoint.ID, "the engine is leaving; the run goes on at "+r.backup.ID)
+		return
+	}
+	s.failed(r.ctx, r.endpoint, r.cause)
+	s.record("stream-broke", r.life.req, r.endpoint.ID, err.Error())
+}
+
+// Leaving takes in that an endpoint will stop. The runs that would not end in
+// time leave it.
+func (s *Server) Leaving(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.runs {
+		if r.reply != nil && r.on == id && r.spare && !r.moving {
+			r.moving = true
+			r.reply.Close()
+		}
+	}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,141 @@
+// Package fleet is a node's belief about the routing table and the endpoints:
+// which there are, which are leaving, and what other nodes run on them.
+//
+// It is a plug-in of the kernel. Some nodes hear changes from the platform's
+// store; each passes what is new to its neighbours, with the store revision
+// that orders it, so that a node that cannot reach the store learns the same.
+// Neighbours also compare digests, which repairs what was lost on the way.
+//
+// Invariants:
+//   - The version of the table in force never falls.
+//   - Of two records of an item, the one of the higher revision holds.
+//   - A record that cannot be read names no endpoint and leaves the others.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/table"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+const (
+	digestPeriod = time.Second            // between two comparisons with a neighbour
+	wantTimeout  = 500 * time.Millisecond // an unanswered Want is repeated
+	removedLife  = time.Minute            // a removal is remembered against late news
+	usageStep    = 25 * time.Millisecond  // between two Usages, for each node of the deployment
+	usageLife    = 40                     // a node's Usage counts for this many periods
+)
+
+var handle kernel.Handle[*View]
+
+func init() {
+	handle = kernel.Register(kernel.Plugin[*View]{
+		Name: "fleet",
+		Rank: 25,
+		Init: func(kernel.Config) *View { return &View{} },
+		Step: step,
+	})
+}
+
+// Of returns the belief in s.
+func Of(s kernel.State) *View {
+	return handle.Of(s)
+}
+
+// Endpoint is one start of a server process.
+type Endpoint struct {
+	ID      string
+	Service string
+	Addr    string
+	Centre  string
+	Slots   int
+	Leaving bool
+	Born    int64 // start of the process, Unix milliseconds by its own clock
+}
+
+// View is the belief at one time. It is immutable.
+type View struct {
+	table     *table.Table
+	learned   time.Time // when the table came into force
+	records   map[string]record
+	services  map[string][]Endpoint
+	listed    bool
+	digest    uint64
+	digestAt  time.Time
+	wanted    map[string]time.Time // when a neighbour was asked last
+	own       []*wire.Use
+	ownSeq    uint64
+	ownAt     time.Time
+	usages    map[string]usage // by peer
+	elsewhere map[string]Use   // by endpoint, summed over the peers
+}
+
+// record is the last that is known of one item.
+type record struct {
+	item     *wire.Item
+	endpoint Endpoint // zero for the table, and for an unreadable item
+	at       time.Time
+}
+
+// usage is what one peer runs.
+type usage struct {
+	seq  uint64
+	at   time.Time
+	uses []*wire.Use
+}
+
+// Use is what runs on one endpoint.
+type Use struct {
+	Requests int
+	Tokens   int
+}
+
+// Table returns the table in force, or nil before the first one.
+func (v *View) Table() *table.Table { return v.table }
+
+// Age returns how long ago the table came into force.
+func (v *View) Age(now time.Time) time.Duration { return now.Sub(v.learned) }
+
+// Ready reports whether the node knows what to serve.
+func (v *View) Ready() bool { return v.table != nil && v.listed }
+
+// Endpoints returns the listed endpoints of a service, also those that are
+// leaving, sorted by id. The caller must not change the slice.
+func (v *View) Endpoints(service string) []Endpoint { return v.services[service] }
+
+// Endpoint returns what is known of one endpoint, and whether it is listed.
+func (v *View) Endpoint(id string) (Endpoint, bool) {
+	r, ok := v.records[endpointPrefix+id]
+	return r.endpoint, ok && !r.item.GetRemoved() && r.endpoint.ID != ""
+}
+
+// Elsewhere returns what the other nodes run on an endpoint, as far as they
+// have told.
+func (v *View) Elsewhere(id string) Use { return v.elsewhere[id] }
+
+// Peers returns the number of other nodes that have told their usage.
+func (v *View) Peers() int { return len(v.usages) }
+
+// Revision returns the highest store revision of any known item.
+func (v *View) Revision() int64 {
+	var most int64
+	for _, r := range v.records {
+		most = max(most, r.item.GetRevision())
+	}
+	return most
+}
+
+// Names returns the ids of the listed endpoints.
+func (v *View) Names() []string {
+	var ids []string
+	for _, r := range v.records {
+		if r.endpoint.ID != "" && !r.item.GetRemoved() {
+			ids = append(ids, r.endpoint.ID)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/fleet/item.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/table"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+const (
+	tableItem      = "table"
+	endpointPrefix = "endpoint/"
+)
+
+// ItemError says that an item cannot be read.
+type ItemError struct {
+	Name string
+	Err  error
+}
+
+// Error names the item.
+func (e *ItemError) Error() string { return "item " + e.Name + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ItemError) Unwrap() error { return e.Err }
+
+// TableItem returns the item of a routing table.
+func TableItem(cfg table.Config, revision int64) (*wire.Item, error) {
+	body, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, &ItemError{Name: tableItem, Err: err}
+	}
+	return &wire.Item{Name: tableItem, Revision: revision, Body: body}, nil
+}
+
+// EndpointItem returns the item of an endpoint.
+func EndpointItem(e Endpoint, revision int64) (*wire.Item, error) {
+	body, err := json.Marshal(e)
+	if err != nil {
+		return nil, &ItemError{Name: e.ID, Err: err}
+	}
+	return &wire.Item{Name: endpointPrefix + e.ID, Revision: revision, Body: body}, nil
+}
+
+// RemovedItem returns the item of an endpoint that is gone.
+func RemovedItem(id string, revision int64) *wire.Item {
+	return &wire.Item{Name: endpointPrefix + id, Revision: revision, Removed: true}
+}
+
+func decodeTable(item *wire.Item) (*table.Table, error) {
+	var cfg table.Config
+	if err := json.Unmarshal(item.GetBody(), &cfg); err != nil {
+		return nil, &ItemError{Name: item.GetName(), Err: err}
+	}
+	return table.New(cfg), nil
+}
+
+func decodeEndpoint(item *wire.Item) (Endpoint, error) {
+	id, ok := strings.CutPrefix(item.GetName(), endpointPrefix)
+	if !ok {
+		return Endpoint{}, &ItemError{Name: item.GetName(), Err: errors.New("unknown kind of item")}
+	}
+	e := Endpoint{ID: id}
+	if item.GetRemoved() {
+		return e, nil
+	}
+	if err := json.Unmarshal(item.GetBody(), &e); err != nil {
+		return Endpoint{}, &ItemError{Name: item.GetName(), Err: err}
+	}
+	return e, nil
+}
--- a/front/admin.go
+++ b/front/admin.go
@@ -17,7 +17,6 @@
 	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
-	"github.com/plantaindeck/plantaindeck/wire"
 	"github.com/valyala/fasthttp"
 )
 
@@ -44,10 +43,8 @@
 	centre := string(ctx.QueryArgs().Peek("centre"))
 	view := member.Of(f.cfg.Daemon.State())
 	list := Addresses{TTL: f.cfg.TTL.Seconds(), Addresses: []Address{}}
-	for _, p := range view.Peers() {
-		if p.Member.GetState() == wire.State_ALIVE && p.Member.GetFront() != "" {
-			list.Addresses = append(list.Addresses, Address{Addr: p.Member.GetFront(), Centre: p.Member.GetCentre()})
-		}
+	for _, m := range view.Serving() {
+		list.Addresses = append(list.Addresses, Address{Addr: m.GetFront(), Centre: m.GetCentre()})
 	}
 	a := list.Addresses
 	rand.Shuffle(len(a), func(i, j int) { a[i], a[j] = a[j], a[i] })
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -71,6 +71,11 @@
 	Addr     string
 }
 
+// Leave says that an endpoint is leaving or gone.
+type Leave struct {
+	Endpoint string
+}
+
 // Record adds an entry to the node's record of events.
 type Record struct {
 	Kind      string // short name of what happened, such as grant
@@ -87,4 +92,5 @@
 func (ReadStore) isEffect() {}
 func (Adopt) isEffect()     {}
 func (Watch) isEffect()     {}
+func (Leave) isEffect()     {}
 func (Record) isEffect()    {}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -110,6 +110,17 @@
 	Leaving   bool
 }
 
+// Learned brings items that the platform's store holds.
+type Learned struct {
+	Items  []*wire.Item
+	Listed bool // every item of the store has been given
+}
+
+// Used tells what this node runs on endpoints.
+type Used struct {
+	Uses []*wire.Use
+}
+
 // Stopping says that this node has been asked to stop.
 type Stopping struct{}
 
@@ -124,4 +135,6 @@
 func (Moved) isEvent()        {}
 func (Ended) isEvent()        {}
 func (LoadRead) isEvent()     {}
+func (Learned) isEvent()      {}
+func (Used) isEvent()         {}
 func (Stopping) isEvent()     {}
--- a/member/member.go
+++ b/member/member.go
@@ -154,6 +154,17 @@
 	return list
 }
 
+// Serving returns the members that callers may be sent to.
+func (v *View) Serving() []*wire.Member {
+	var list []*wire.Member
+	for _, p := range v.Peers() {
+		if p.Member.GetState() == wire.State_ALIVE && p.Member.GetFront() != "" {
+			list = append(list, p.Member)
+		}
+	}
+	return list
+}
+
 // Usable reports whether a member can be sent work.
 func (v *View) Usable(id string) bool {
 	p, ok := v.peers[id]
--- a/node/node.go
+++ b/node/node.go
@@ -11,10 +11,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/assign"
 	"github.com/plantaindeck/plantaindeck/claim"
 	"github.com/plantaindeck/plantaindeck/config"
 	"github.com/plantaindeck/plantaindeck/daemon"
-	"github.com/plantaindeck/plantaindeck/deploy"
 	"github.com/plantaindeck/plantaindeck/front"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/store"
@@ -143,7 +143,7 @@
 	leasing := make(chan error, 1)
 	go func() { leasing <- n.keepLease(ctx) }()
 	commanding := make(chan error, 1)
-	runner := deploy.New(deploy.Config{Store: n.store, State: n.daemon.State, Now: time.Now})
+	runner := assign.New(assign.Config{Store: n.store, State: n.daemon.State, Now: time.Now})
 	go func() { commanding <- runner.Run(ctx) }()
 	err := n.daemon.Run(ctx)
 	if closeErr := n.ln.Close(); closeErr != nil && !errors.Is(closeErr, net.ErrClosed) {
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,81 @@
+// Package place chooses the endpoint for a request.
+//
+// Choose is a pure function over what a node knows of the endpoints. Several
+// nodes choose at once by lagging knowledge of each other; it answers that
+// load pattern by drawing two of the endpoints that are nearly as good as the
+// best and taking the better one, so that the nodes do not all take the same.
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	nearBest     = 0.15 // scores within this of the best are drawn from
+	farPenalty   = 0.02 // of an endpoint in another data centre
+	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
+	queuePenalty = 2.0  // of each slot's worth of requests that would wait
+	tokenWeight  = 1.0  // of KV-cache memory against slots
+)
+
+// Candidate is an endpoint as this node knows it.
+type Candidate struct {
+	ID       string
+	Near     bool // in this node's data centre
+	Slots    int
+	Requests int     // running or waiting there, from all nodes
+	Memory   int     // KV-cache memory, tokens; 0 for a plain service
+	Tokens   int     // KV-cache memory that the requests are expected to need
+	Failing  float64 // share of recent requests that failed, in [0, 1]
+}
+
+// Need is what the request takes.
+type Need struct {
+	Tokens int
+}
+
+// Score returns how bad it is to give the request to c; lower is better.
+func Score(n Need, c Candidate) float64 {
+	slots := float64(max(c.Slots, 1))
+	load := float64(c.Requests+1) / slots
+	score := load
+	if load > 1 {
+		score += queuePenalty * (load - 1)
+	}
+	if c.Memory > 0 {
+		used := float64(c.Tokens+n.Tokens) / float64(c.Memory)
+		score += tokenWeight * used
+		if used > 1 {
+			score += queuePenalty * (used - 1)
+		}
+	}
+	if !c.Near {
+		score += farPenalty
+	}
+	return score + failPenalty*c.Failing
+}
+
+// Choose returns the index of the endpoint to use, or false if there is none.
+func Choose(n Need, list []Candidate, r *rand.Rand) (int, bool) {
+	if len(list) == 0 {
+		return 0, false
+	}
+	scores := make([]float64, len(list))
+	best := math.Inf(1)
+	for i, c := range list {
+		scores[i] = Score(n, c)
+		best = min(best, scores[i])
+	}
+	var near []int
+	for i, s := range scores {
+		if s <= best+nearBest {
+			near = append(near, i)
+		}
+	}
+	a, b := near[r.IntN(len(near))], near[r.IntN(len(near))]
+	if scores[b] < scores[a] {
+		return b, true
+	}
+	return a, true
+}
