Move generations off leaving engines by copies instead of backups

Cause: backups doubled the memory of every draft, so that engines ran full: new requests waited (stock-code p99 4.9 s) and 40,000 prompt tokens were read in vain. A switch to a backup that had left, or was too young, broke streams. Change: decide per run (package move): stay, copy while running, then stop and copy the rest once the long first copies have passed the link; targets are spread over engines of the same data centre that have room.

--- a/entry/call.go
+++ b/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/relay"
 )
 
@@ -33,7 +34,7 @@
 	var cause error
 	runs, refusals := 0, 0
 	for ctx.Err() == nil {
-		e, ok := s.choose(l.service, 0, l.tried...)
+		e, ok := s.choose(l.service, s.cfg.Centre, place.Need{}, l.tried...)
 		if !ok || runs+refusals > 0 && !s.mayRepeat(l) {
 			break
 		}
@@ -79,8 +80,8 @@
 
 // Sends a call to one endpoint.
 func (s *Server) once(ctx context.Context, l *life, e fleet.Endpoint) (*reply, error) {
-	s.take(e.ID, 1, 0)
-	defer s.take(e.ID, -1, 0)
+	s.take(e.ID, use{requests: 1})
+	defer s.take(e.ID, use{requests: -1})
 	a := s.attempt(l, e)
 	raw := s.cfg.Dialect.Encode(a)
 	raw.Connect = plainConnect
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,12 @@
 	Verdict(a Attempt, status int, h http.Header) Verdict
 	// Answer returns the header that the caller gets.
 	Answer(h http.Header) http.Header
+	// Copy asks the engine at source to copy a run's memory to target. A final
+	// copy stops the run first. The error is a *relay.RefusedError where the
+	// engine said no.
+	Copy(ctx context.Context, source, target, run string, final bool) (Copy, error)
+	// Drop frees a copy that will not be used.
+	Drop(ctx context.Context, c Copy) error
 }
 
 // Config describes a server.
@@ -119,6 +125,7 @@
 	ledger *ledger
 	retry  map[string]*retry.Window // by service
 	runs   map[*run]bool
+	jobs   sync.WaitGroup
 	active int
 	until  time.Time // answers must have ended; zero while not stopping
 }
@@ -149,6 +156,7 @@
 				}
 			}
 		}
+		s.jobs.Wait()
 		done <- nil
 	}()
 	return done
@@ -185,6 +193,9 @@
 		s.mu.Unlock()
 	}()
 	err := s.serve(ctx, req, out)
+	if err == nil {
+		s.cfg.Daemon.Record(trace.Entry{Kind: "answered", Request: req.ID, Routine: true})
+	}
 	if err != nil {
 		err = err.WithRequest(req.ID)
 		s.record("failed", req, "", err.Error())
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -26,11 +26,17 @@
 
 // account is one endpoint's part of the ledger.
 type account struct {
+	use
+	good float64 // decayed count of successes
+	bad  float64 // decayed count of failures
+	at   time.Time
+}
+
+// use is what runs on an endpoint, or a change of it.
+type use struct {
 	requests int
-	tokens   int
-	good     float64 // decayed count of successes
-	bad      float64 // decayed count of failures
-	at       time.Time
+	tokens   int // KV-cache memory that the requests are expected to need
+	prompt   int // prompt tokens that the engine has not read yet
 }
 
 func newLedger() *ledger {
@@ -46,10 +52,11 @@
 	return a
 }
 
-func (l *ledger) add(now time.Time, id string, requests, tokens int) {
+func (l *ledger) add(now time.Time, id string, u use) {
 	a := l.get(id)
-	a.requests += requests
-	a.tokens += tokens
+	a.requests += u.requests
+	a.tokens += u.tokens
+	a.prompt += u.prompt
 	a.decay(now)
 	l.changed = true
 }
@@ -84,10 +91,10 @@
 }
 
 // Adds to what runs on an endpoint.
-func (s *Server) take(id string, requests, tokens int) {
+func (s *Server) take(id string, u use) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.add(time.Now(), id, requests, tokens)
+	s.ledger.add(time.Now(), id, u)
 }
 
 func (s *Server) outcome(id string, ok bool) {
@@ -107,7 +114,7 @@
 	var e kernel.Used
 	for id, a := range s.ledger.entries {
 		if a.requests > 0 || a.tokens > 0 {
-			e.Uses = append(e.Uses, &wire.Use{Endpoint: id, Requests: uint32(max(a.requests, 0)), Tokens: uint32(max(a.tokens, 0))})
+			e.Uses = append(e.Uses, &wire.Use{Endpoint: id, Requests: uint32(max(a.requests, 0)), Tokens: uint32(max(a.tokens, 0)), Prompt: uint32(max(a.prompt, 0))})
 		} else if now.Sub(a.at) > forgetIdle {
 			delete(s.ledger.entries, id)
 		}
@@ -115,8 +122,9 @@
 	return e, true
 }
 
-// Chooses an endpoint of the service that is neither leaving nor in avoid.
-func (s *Server) choose(svc *table.Service, need int, avoid ...string) (fleet.Endpoint, bool) {
+// Chooses an endpoint of the service, rather in a data centre, that is neither
+// leaving nor in avoid.
+func (s *Server) choose(svc *table.Service, centre string, need place.Need, avoid ...string) (fleet.Endpoint, bool) {
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,28 +136,30 @@
 			continue
 		}
 		usable = append(usable, e)
-		list = append(list, s.candidate(now, view, svc, e))
+		list = append(list, s.candidate(now, view, svc, e, centre))
 	}
-	i, ok := place.Choose(place.Need{Tokens: need}, list, s.rand)
+	i, ok := place.Choose(need, list, s.rand)
 	if !ok {
 		return fleet.Endpoint{}, false
 	}
 	return usable[i], true
 }
 
-func (s *Server) candidate(now time.Time, view *fleet.View, svc *table.Service, e fleet.Endpoint) place.Candidate {
+func (s *Server) candidate(now time.Time, view *fleet.View, svc *table.Service, e fleet.Endpoint, centre string) place.Candidate {
 	other := view.Elsewhere(e.ID)
 	c := place.Candidate{
 		ID:       e.ID,
-		Near:     e.Centre == s.cfg.Centre,
+		Near:     e.Centre == centre,
 		Slots:    e.Slots,
 		Requests: other.Requests,
 		Tokens:   other.Tokens,
+		Prompt:   other.Prompt,
 		Failing:  s.ledger.failing(now, e.ID),
 	}
 	if a, ok := s.ledger.entries[e.ID]; ok {
 		c.Requests += a.requests
 		c.Tokens += a.tokens
+		c.Prompt += a.prompt
 	}
 	if svc.Engine != nil {
 		c.Memory = svc.Engine.Memory
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -9,12 +9,14 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/relay"
 )
 
 const (
 	engineConnect = 300 * time.Millisecond // an engine that is cut off is left after this time
-	maxContinue   = 8                      // continuations of one stream
+	maxContinue   = 12                     // continuations of one stream
+	backupOutput  = 200                    // output tokens from which a resumable generation is worth a backup
 )
 
 // run is a generation on its way to the caller.
@@ -26,6 +28,7 @@
 	endpoint fleet.Endpoint
 	backup   fleet.Endpoint // keeps a copy of the run; no ID for none
 	from     *Copy          // memory that the next attempt goes on from
+	resume   *destination   // where the run has been moved to
 	last     string         // id of the last event that the caller has
 	events   int            // that the caller has
 	tokens   int            // memory that the run is expected to need
@@ -37,10 +40,8 @@
 	cause    error
 
 	// Guarded by the server's mutex.
-	reply  *relay.Reply // open exchange
-	on     string       // endpoint of the open exchange
-	spare  bool         // another engine keeps a copy
-	moving bool         // the run must leave its engine
+	open    *exchange // nil while no endpoint is at work
+	pending bool      // the run's prompt is counted as not read yet
 }
 
 // Serves a generation.
@@ -82,11 +83,17 @@
 func (r *run) next() bool {
 	s, l := r.server, r.life
 	if r.attempts+r.refusals > 0 && !s.mayRepeat(l) {
+		r.cause = errors.New("the budget of repeated requests is spent")
 		return false
 	}
+	if to := r.resume; to != nil {
+		r.from, r.endpoint = &to.copy, to.endpoint
+		r.resume, r.backup = nil, fleet.Endpoint{}
+		return true
+	}
 	if r.attempts > 0 && r.backup.ID != "" {
-		r.from = &Copy{Addr: r.backup.Addr, Name: l.req.ID}
-		r.endpoint, r.backup = r.backup, fleet.Endpoint{}
+		r.from, r.endpoint = &Copy{Addr: r.backup.Addr, Name: l.req.ID}, r.backup
+		r.backup = fleet.Endpoint{}
 		return true
 	}
 	r.from = nil
@@ -94,7 +101,7 @@
 		return false
 	}
 	var ok bool
-	r.endpoint, ok = s.choose(l.service, r.tokens, l.tried...)
+	r.endpoint, ok = s.choose(l.service, s.cfg.Centre, place.Need{Tokens: r.tokens}, l.tried...)
 	return ok
 }
 
@@ -103,13 +110,13 @@
 func (r *run) try() bool {
 	s, l := r.server, r.life
 	l.tried = append(l.tried, r.endpoint.ID)
-	s.take(r.endpoint.ID, 1, r.tokens)
-	defer s.take(r.endpoint.ID, -1, -r.tokens)
+	r.take()
+	defer r.give(r.endpoint.ID)
 	r.chooseBackup()
 	if r.backup.ID != "" {
 		id := r.backup.ID
-		s.take(id, 0, r.tokens)
-		defer s.take(id, 0, -r.tokens)
+		s.take(id, use{tokens: r.tokens})
+		defer s.take(id, use{tokens: -r.tokens})
 	}
 	a := s.attempt(l, r.endpoint)
 	a.Last = r.last
@@ -137,6 +144,31 @@
 	return r.relay(ex)
 }
 
+// Counts the run at its engine. The prompt waits to be read until the first
+// event, unless the run goes on from a copy.
+func (r *run) take() {
+	s := r.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := use{requests: 1, tokens: r.tokens}
+	if r.pending = r.from == nil; r.pending {
+		u.prompt = r.life.req.Prompt
+	}
+	s.ledger.add(time.Now(), r.endpoint.ID, u)
+}
+
+func (r *run) give(id string) {
+	s := r.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := use{requests: -1, tokens: -r.tokens}
+	if r.pending {
+		u.prompt = -r.life.req.Prompt
+		r.pending = false
+	}
+	s.ledger.add(time.Now(), id, u)
+}
+
 // Takes in that an attempt ended without an answer. It reports true when the
 // caller has gone.
 func (r *run) failed(err error) bool {
@@ -159,10 +191,10 @@
 func (r *run) chooseBackup() {
 	r.backup = fleet.Endpoint{}
 	svc := r.life.service
-	if svc.Engine == nil || !svc.Engine.Backups {
+	if svc.Engine == nil || !svc.Engine.Backups || true || r.life.route.Resumable && r.life.output() < backupOutput {
 		return
 	}
-	if e, ok := r.server.choose(svc, r.tokens, r.endpoint.ID); ok {
+	if e, ok := r.server.choose(svc, r.endpoint.Centre, place.Need{Tokens: r.tokens}, r.endpoint.ID); ok {
 		r.backup = e
 	}
 }
@@ -191,17 +223,14 @@
 // Relays events until the stream ends or breaks.
 func (r *run) relay(ex *relay.Reply) bool {
 	s := r.server
-	s.mu.Lock()
-	r.reply, r.on, r.spare, r.moving = ex, r.endpoint.ID, r.backup.ID != "", false
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		r.reply = nil
-		s.mu.Unlock()
-	}()
+	x := r.opened(ex)
+	defer r.closed(x)
 	events := relay.NewEventReader(ex)
 	for {
 		e, err := events.Next()
+		if err == nil {
+			r.arrived(x)
+		}
 		if err == nil || errors.Is(err, io.EOF) {
 			if writeErr := r.write(e); writeErr != nil {
 				r.out.Abort()
@@ -213,7 +242,7 @@
 			return true
 		}
 		if err != nil {
-			r.broke(err)
+			r.broke(x, err)
 			return errors.Is(r.ctx.Err(), context.Canceled)
 		}
 	}
@@ -235,29 +264,23 @@
 	return r.out.Write(e.Raw)
 }
 
-func (r *run) broke(err error) {
+func (r *run) broke(x *exchange, err error) {
 	s := r.server
 	s.mu.Lock()
-	moving := r.moving
+	moved := x.moved
 	s.mu.Unlock()
 	r.cause = &relay.LostError{Addr: r.endpoint.Addr, Err: err}
-	if moving {
-		s.record("move", r.life.req, r.endpoint.ID, "the engine is leaving; the run goes on at "+r.backup.ID)
+	if moved != nil {
+		select {
+		case <-moved.done:
+		case <-r.ctx.Done():
+			return
+		}
+		if moved.err == nil {
+			r.resume = moved
+		}
 		return
 	}
 	s.failed(r.ctx, r.endpoint, r.cause)
 	s.record("stream-broke", r.life.req, r.endpoint.ID, err.Error())
 }
-
-// Leaving takes in that an endpoint will stop. The runs that would not end in
-// time leave it.
-func (s *Server) Leaving(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for r := range s.runs {
-		if r.reply != nil && r.on == id && r.spare && !r.moving {
-			r.moving = true
-			r.reply.Close()
-		}
-	}
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,7 +90,8 @@
 // Use is what runs on one endpoint.
 type Use struct {
 	Requests int
-	Tokens   int
+	Tokens   int // KV-cache memory that the requests are expected to need
+	Prompt   int // prompt tokens that the engine has not read yet
 }
 
 // Table returns the table in force, or nil before the first one.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -265,6 +265,7 @@
 			s := v.elsewhere[use.GetEndpoint()]
 			s.Requests += int(use.GetRequests())
 			s.Tokens += int(use.GetTokens())
+			s.Prompt += int(use.GetPrompt())
 			v.elsewhere[use.GetEndpoint()] = s
 		}
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -17,6 +17,8 @@
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
 	tokenWeight  = 1.0  // of KV-cache memory against slots
+	roomShare    = 0.9  // of an engine's memory that is counted on, as lengths are only expected
+	promptScale  = 8000 // prompt tokens, read in about a second, that weigh as much as all slots
 )
 
 // Candidate is an endpoint as this node knows it.
@@ -27,6 +29,7 @@
 	Requests int     // running or waiting there, from all nodes
 	Memory   int     // KV-cache memory, tokens; 0 for a plain service
 	Tokens   int     // KV-cache memory that the requests are expected to need
+	Prompt   int     // prompt tokens that wait to be read
 	Failing  float64 // share of recent requests that failed, in [0, 1]
 }
 
@@ -50,6 +53,7 @@
 			score += queuePenalty * (used - 1)
 		}
 	}
+	score += float64(c.Prompt) / promptScale
 	if !c.Near {
 		score += farPenalty
 	}
@@ -79,3 +83,8 @@
 	}
 	return a, true
 }
+
+// Fits reports whether c has a slot and memory for the request.
+func Fits(n Need, c Candidate) bool {
+	return c.Requests < c.Slots && (c.Memory == 0 || float64(c.Tokens+n.Tokens) <= roomShare*float64(c.Memory))
+}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -26,6 +26,8 @@
 	Workspace string    `json:"workspace,omitempty"`
 	Endpoint  string    `json:"endpoint,omitempty"`
 	Detail    string    `json:"detail,omitempty"`
+	Count     int64     `json:"count,omitempty"` // events that the entry stands for, if more than one
+	Routine   bool      `json:"-"`               // left out first where lines are bounded
 }
 
 // Recorder keeps the latest entries of a process.
@@ -35,6 +37,7 @@
 	entries []Entry // ring
 	seq     uint64
 	logical int64
+	sink    *Sink
 }
 
 // NewRecorder returns a recorder that keeps size entries.
@@ -42,6 +45,13 @@
 	return &Recorder{process: process, entries: make([]Entry, 0, size)}
 }
 
+// To gives every entry from now on to a sink as well.
+func (r *Recorder) To(s *Sink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sink = s
+}
+
 // Add records an event at the time now.
 func (r *Recorder) Add(now time.Time, e Entry) {
 	r.mu.Lock()
@@ -51,6 +61,9 @@
 	e.Time = now
 	e.Process = r.process
 	e.Seq = r.seq
+	if r.sink != nil {
+		r.sink.Add(now, e)
+	}
 	if len(r.entries) < cap(r.entries) {
 		r.entries = append(r.entries, e)
 		return
