--- a/entry/leave.go
+++ b/entry/leave.go
@@ -169,8 +169,8 @@
 		Backup:  listed && !backup.Leaving,
 		Movable: r.life.service.Engine.Moves,
 	}
-	expected := x.expected - x.before
-	state.Remaining = move.Remaining(x.events, expected, now.Sub(x.first))
+	state.Expected = max(x.expected-x.before, 0)
+	state.Remaining = move.Remaining(x.events, state.Expected, now.Sub(x.first))
 	return state, false
 }
 
--- a/move/move.go
+++ b/move/move.go
@@ -40,6 +40,7 @@
 type Run struct {
 	Age       time.Duration // since the engine was given it
 	Events    int           // that have arrived from this engine
+	Expected  int           // events that it will probably make there
 	Remaining time.Duration // expected until its end
 	Heard     time.Duration // since the engine was heard to be leaving
 	Backup    bool          // the engine that keeps a copy is listed and stays
@@ -75,7 +76,7 @@
 func Decide(r Run) Action {
 	left := Notice - r.Heard
 	switch {
-	case r.Events > 0 && r.Remaining*stayFactor < left:
+	case r.Events > 0 && 2*r.Events > r.Expected && r.Remaining*stayFactor < left:
 		return Stay{}
 	case r.Events > 0 && r.Backup && r.Age >= backupAge:
 		return Switch{}
@@ -105,9 +106,13 @@
 		return time.Hour
 	}
 	left := max(expected-made, made/overrun)
-	return time.Duration(float64(elapsed) / float64(made) * float64(left))
+	pace := max(elapsed/time.Duration(made), eventTime)
+	return pace * time.Duration(left)
 }
 
+// eventTime is the least time between two events of four tokens.
+const eventTime = 30 * time.Millisecond
+
 // overrun is the divisor of what a generation beyond its expected length has
 // made, which gives what it will still make.
 const overrun = 3
