Evacuate by plan, ask engines whether they leave, shun what accepts no connection

Cause: with eight generations on an engine all copies begun at once were late; wrong length hints let short-looking ones stay; while the store is down no notice came at all, and endpoints that had gone were tried again and again at the expense of the retry budget.

--- a/entry/call.go
+++ b/entry/call.go
@@ -115,6 +115,12 @@
 		return
 	}
 	s.outcome(e.ID, false)
+	var notSent *relay.NotSentError
+	if errors.As(err, &notSent) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ledger.unreachable(time.Now(), e.ID)
+	}
 }
 
 // Returns what an endpoint is sent.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,8 @@
 	// copy stops the run first. The error is a *relay.RefusedError where the
 	// engine said no.
 	Copy(ctx context.Context, source, target, run string, final bool) (Copy, error)
+	// Leaving asks an engine whether it is leaving.
+	Leaving(ctx context.Context, addr string) (bool, error)
 	// Drop frees a copy that will not be used.
 	Drop(ctx context.Context, c Copy) error
 }
@@ -115,6 +117,7 @@
 	Centre  string
 	Seed    uint64
 	Budget  retry.Limit
+	Deaf    func(now time.Time) bool // reports whether news of endpoints does not come at present
 }
 
 // Server serves the requests of one node.
@@ -127,6 +130,7 @@
 	runs   map[*run]bool
 	jobs   sync.WaitGroup
 	active int
+	probed time.Time // used by Run only
 	until  time.Time // answers must have ended; zero while not stopping
 }
 
@@ -151,6 +155,7 @@
 			select {
 			case <-ctx.Done():
 			case now := <-t.C:
+				s.probe(ctx, now)
 				if event, changed := s.used(now); changed {
 					s.cfg.Daemon.Post(ctx, event)
 				}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/fleet"
@@ -30,7 +29,8 @@
 	before   int          // events that the caller had before
 	expected int          // events of the whole run
 	moved    *destination // set when the run goes on elsewhere
-	planned  bool         // a goroutine moves the run
+	planned  bool         // a goroutine looks after the run until it has left
+	movable  bool         // the run is to be copied to another engine
 	ended    bool
 }
 
@@ -60,7 +60,7 @@
 	defer s.mu.Unlock()
 	r.open = x
 	if !listed || now.Leaving {
-		s.leave(r, x)
+		s.leave([]*run{r}, s.view().Elsewhere(r.endpoint.ID).Requests)
 	}
 	return x
 }
@@ -99,23 +99,42 @@
 
 // Leaving takes in that an endpoint is leaving or gone.
 func (s *Server) Leaving(id string) {
+	elsewhere := s.view().Elsewhere(id).Requests
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var runs []*run
 	for r := range s.runs {
-		if x := r.open; x != nil && x.endpoint.ID == id {
-			s.leave(r, x)
+		if x := r.open; x != nil && x.endpoint.ID == id && !x.planned {
+			runs = append(runs, r)
 		}
 	}
+	s.leave(runs, elsewhere)
 }
 
-// Starts to move a run, unless that has been done. The mutex is held.
-func (s *Server) leave(r *run, x *exchange) {
-	if x.planned || r.life.service.Engine == nil {
-		return
-	}
-	x.planned = true
+// Starts to move runs off their engine. The mutex is held.
+func (s *Server) leave(runs []*run, elsewhere int) {
 	heard := time.Now()
-	s.jobs.Go(func() { s.evacuate(r, x, heard) })
+	items := make([]move.Item, len(runs))
+	for i, r := range runs {
+		items[i] = r.item()
+	}
+	chosen := move.Plan(items, elsewhere, s.rand.Float64())
+	for i, r := range runs {
+		x := r.open
+		x.planned = true
+		x.movable = chosen[i] && r.life.service.Engine != nil && r.life.service.Engine.Moves
+		s.jobs.Go(func() { s.evacuate(r, x, heard) })
+	}
+}
+
+// Describes a run to the plan of an evacuation.
+func (r *run) item() move.Item {
+	e := r.life.service.Engine
+	if e == nil || e.LinkMbps <= 0 {
+		return move.Item{}
+	}
+	bits := float64(r.life.req.Prompt+r.events*max(e.Stride, 1)) * float64(e.TokenBytes) * 8
+	return move.Item{Size: r.tokens, Copy: time.Duration(bits / e.LinkMbps * float64(time.Microsecond))}
 }
 
 // Carries out the decisions on one run until it has been moved, stays or ends.
@@ -167,7 +186,7 @@
 		Events:  x.events,
 		Heard:   now.Sub(heard),
 		Backup:  listed && !backup.Leaving,
-		Movable: r.life.service.Engine.Moves,
+		Movable: x.movable,
 	}
 	state.Expected = max(x.expected-x.before, 0)
 	state.Remaining = move.Remaining(x.events, state.Expected, now.Sub(x.first))
@@ -184,10 +203,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	var near, far []fleet.Endpoint
-	for _, e := range view.Endpoints(r.life.service.Name) {
-		if e.Leaving || e.ID == x.endpoint.ID || slices.Contains(avoid, e.ID) {
-			continue
-		}
+	for _, e := range s.usable(now, view, r.life.service.Name, append(avoid, x.endpoint.ID)) {
 		if !place.Fits(place.Need{Tokens: r.tokens}, s.candidate(now, view, r.life.service, e, x.endpoint.Centre)) {
 			continue
 		}
@@ -244,6 +260,7 @@
 		}
 		return false
 	}
+	s.record("copied", r.life.req, target.ID, fmt.Sprintf("the first copy from %s to %s was complete %s after the notice", x.endpoint.Centre, target.Centre, time.Since(heard).Round(time.Millisecond)))
 	wait.For(ctx, move.Final(time.Since(heard)))
 	to := &destination{endpoint: target, done: make(chan struct{})}
 	defer close(to.done)
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	failLife   = 2 * time.Second // time in which an outcome loses all but 1/e of its weight
-	failPrior  = 1.0             // successes that an endpoint without a history is credited with
-	forgetIdle = time.Minute     // an unused endpoint is dropped from the ledger
+	failLife   = 2 * time.Second        // time in which an outcome loses all but 1/e of its weight
+	shunFirst  = 500 * time.Millisecond // after a connection that was not accepted; doubles
+	shunMost   = 4 * time.Second
+	failPrior  = 1.0         // successes that an endpoint without a history is credited with
+	forgetIdle = time.Minute // an unused endpoint is dropped from the ledger
 )
 
 // ledger counts what this node runs on each endpoint and how that went.
@@ -27,9 +29,11 @@
 // account is one endpoint's part of the ledger.
 type account struct {
 	use
-	good float64 // decayed count of successes
-	bad  float64 // decayed count of failures
-	at   time.Time
+	good    float64 // decayed count of successes
+	bad     float64 // decayed count of failures
+	at      time.Time
+	refused int       // connections in a row that were not accepted
+	shunned time.Time // not chosen before, while there are others
 }
 
 // use is what runs on an endpoint, or a change of it.
@@ -75,11 +79,27 @@
 	a.decay(now)
 	if ok {
 		a.good++
+		a.refused, a.shunned = 0, time.Time{}
 	} else {
 		a.bad++
 	}
 }
 
+// Notes that an endpoint did not accept a connection.
+func (l *ledger) unreachable(now time.Time, id string) {
+	a := l.get(id)
+	if now.Before(a.shunned) {
+		return // one of several at the same time
+	}
+	a.shunned = now.Add(min(shunFirst<<a.refused, shunMost))
+	a.refused = min(a.refused+1, 8)
+}
+
+func (l *ledger) shuns(now time.Time, id string) bool {
+	a, ok := l.entries[id]
+	return ok && now.Before(a.shunned)
+}
+
 // Returns the share of an endpoint's recent requests that failed.
 func (l *ledger) failing(now time.Time, id string) float64 {
 	a, ok := l.entries[id]
@@ -129,14 +149,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var usable []fleet.Endpoint
-	var list []place.Candidate
-	for _, e := range view.Endpoints(svc.Name) {
-		if e.Leaving || slices.Contains(avoid, e.ID) {
-			continue
-		}
-		usable = append(usable, e)
-		list = append(list, s.candidate(now, view, svc, e, centre))
+	usable := s.usable(now, view, svc.Name, avoid)
+	list := make([]place.Candidate, len(usable))
+	for i, e := range usable {
+		list[i] = s.candidate(now, view, svc, e, centre)
 	}
 	i, ok := place.Choose(need, list, s.rand)
 	if !ok {
@@ -145,6 +161,25 @@
 	return usable[i], true
 }
 
+// Returns the endpoints that may be given work: those that accept connections,
+// or all that are listed if none is known to. The mutex is held.
+func (s *Server) usable(now time.Time, view *fleet.View, service string, avoid []string) []fleet.Endpoint {
+	var open, shunned []fleet.Endpoint
+	for _, e := range view.Endpoints(service) {
+		switch {
+		case e.Leaving || slices.Contains(avoid, e.ID):
+		case s.ledger.shuns(now, e.ID):
+			shunned = append(shunned, e)
+		default:
+			open = append(open, e)
+		}
+	}
+	if len(open) == 0 {
+		return shunned
+	}
+	return open
+}
+
 func (s *Server) candidate(now time.Time, view *fleet.View, svc *table.Service, e fleet.Endpoint, centre string) place.Candidate {
 	other := view.Elsewhere(e.ID)
 	c := place.Candidate{
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -16,6 +17,7 @@
 const (
 	engineConnect = 300 * time.Millisecond // an engine that is cut off is left after this time
 	maxContinue   = 12                     // continuations of one stream
+	longPause     = 150 * time.Millisecond // between two events, that is worth a log line
 	backupOutput  = 200                    // output tokens from which a resumable generation is worth a backup
 )
 
@@ -30,6 +32,7 @@
 	from     *Copy          // memory that the next attempt goes on from
 	resume   *destination   // where the run has been moved to
 	last     string         // id of the last event that the caller has
+	lastAt   time.Time      // its arrival
 	events   int            // that the caller has
 	tokens   int            // memory that the run is expected to need
 	started  bool           // the caller has a header
@@ -177,7 +180,9 @@
 	var refused *relay.RefusedError
 	var notSent *relay.NotSentError
 	if errors.As(err, &refused) || errors.As(err, &notSent) {
-		r.refusals++
+		if refused != nil {
+			r.refusals++
+		}
 		r.backup = fleet.Endpoint{} // which was given nothing to keep
 	} else {
 		r.attempts++
@@ -260,6 +265,11 @@
 	if e.ID != "" {
 		r.last = e.ID
 		r.events++
+		now := time.Now()
+		if pause := now.Sub(r.lastAt); r.events > 1 && pause > longPause {
+			r.server.record("pause", r.life.req, r.endpoint.ID, fmt.Sprintf("%s before event %d, which is event %d of this engine", pause.Round(time.Millisecond), r.events, r.open.events))
+		}
+		r.lastAt = now
 	}
 	return r.out.Write(e.Raw)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,8 @@
 // Invariants:
 //   - The version of the table in force never falls.
 //   - Of two records of an item, the one of the higher revision holds.
+//   - An endpoint that said itself that it is leaving is leaving until the store
+//     holds a newer record of it.
 //   - A record that cannot be read names no endpoint and leaves the others.
 package fleet
 
@@ -71,6 +73,7 @@
 	ownAt     time.Time
 	usages    map[string]usage // by peer
 	elsewhere map[string]Use   // by endpoint, summed over the peers
+	heard     map[string]int64 // endpoints that said that they are leaving, with the revision of their records then
 }
 
 // record is the last that is known of one item.
@@ -110,7 +113,10 @@
 // Endpoint returns what is known of one endpoint, and whether it is listed.
 func (v *View) Endpoint(id string) (Endpoint, bool) {
 	r, ok := v.records[endpointPrefix+id]
-	return r.endpoint, ok && !r.item.GetRemoved() && r.endpoint.ID != ""
+	if !ok || r.item.GetRemoved() || r.endpoint.ID == "" {
+		return Endpoint{}, false
+	}
+	return v.current(r), true
 }
 
 // Elsewhere returns what the other nodes run on an endpoint, as far as they
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -20,6 +20,8 @@
 		return v.tick(now, member.Of(s))
 	case kernel.Learned:
 		return v.learn(now, member.Of(s), "", e.Items, e.Listed)
+	case kernel.Heard:
+		return v.hear(member.Of(s), e.Endpoint)
 	case kernel.Used:
 		next := *v
 		next.own = e.Uses
@@ -38,7 +40,9 @@
 	case *wire.Frame_Want:
 		return v, v.answer(e.From, body.Want)
 	case *wire.Frame_Usage:
-		return v.heard(now, e.From, body.Usage), nil
+		next := v.usage(now, e.From, body.Usage)
+		effects := next.believe(body.Usage.GetLeaving())
+		return next, effects
 	}
 	return v, nil
 }
@@ -118,7 +122,13 @@
 			v.digest ^= itemHash(name, r.item.GetRevision())
 		}
 		if r.endpoint.Addr != "" {
-			v.services[r.endpoint.Service] = append(v.services[r.endpoint.Service], r.endpoint)
+			v.services[r.endpoint.Service] = append(v.services[r.endpoint.Service], v.current(r))
+		}
+	}
+	for id, revision := range v.heard {
+		if v.records[endpointPrefix+id].item.GetRevision() != revision {
+			v.heard = maps.Clone(v.heard)
+			delete(v.heard, id)
 		}
 	}
 	for _, list := range v.services {
@@ -131,6 +141,15 @@
 	}
 }
 
+// Returns an endpoint as its record and its own word have it.
+func (v *View) current(r record) Endpoint {
+	e := r.endpoint
+	if revision, ok := v.heard[e.ID]; ok && revision == r.item.GetRevision() {
+		e.Leaving = true
+	}
+	return e
+}
+
 func itemHash(name string, revision int64) uint64 {
 	buf := binary.LittleEndian.AppendUint64(nil, uint64(revision))
 	return xxhash.Sum64(append(buf, name...))
@@ -220,7 +239,7 @@
 // Tells the other nodes what this one runs.
 func (v *View) tell(m *member.View) []kernel.Effect {
 	v.ownSeq++
-	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Seq: v.ownSeq, Uses: v.own}}}
+	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Seq: v.ownSeq, Uses: v.own, Leaving: slices.Sorted(maps.Keys(v.heard))}}}
 	var effects []kernel.Effect
 	for _, id := range m.Owners() {
 		if id != m.Self().GetId() {
@@ -230,7 +249,42 @@
 	return effects
 }
 
-func (v *View) heard(now time.Time, from string, u *wire.Usage) *View {
+// Takes in an endpoint's own word and passes it on at once.
+func (v *View) hear(m *member.View, id string) (*View, []kernel.Effect) {
+	next := *v
+	effects := next.believe([]string{id})
+	if len(effects) == 0 {
+		return v, nil
+	}
+	return &next, append(effects, next.tell(m)...)
+}
+
+// Marks endpoints as leaving. It returns no effect when all were known to be.
+func (v *View) believe(ids []string) []kernel.Effect {
+	var effects []kernel.Effect
+	for _, id := range ids {
+		e, listed := v.Endpoint(id)
+		if !listed || e.Leaving {
+			continue
+		}
+		if len(effects) == 0 {
+			v.heard = maps.Clone(v.heard)
+			if v.heard == nil {
+				v.heard = map[string]int64{}
+			}
+		}
+		v.heard[id] = v.records[endpointPrefix+id].item.GetRevision()
+		effects = append(effects,
+			kernel.Record{Kind: "endpoint", Endpoint: id, Detail: "leaving by its own word"},
+			kernel.Leave{Endpoint: id})
+	}
+	if len(effects) > 0 {
+		v.index()
+	}
+	return effects
+}
+
+func (v *View) usage(now time.Time, from string, u *wire.Usage) *View {
 	next := *v
 	next.usages = maps.Clone(v.usages)
 	if next.usages == nil {
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -121,6 +121,11 @@
 	Uses []*wire.Use
 }
 
+// Heard says that an endpoint told this node that it is leaving.
+type Heard struct {
+	Endpoint string
+}
+
 // Stopping says that this node has been asked to stop.
 type Stopping struct{}
 
@@ -137,4 +142,5 @@
 func (LoadRead) isEvent()     {}
 func (Learned) isEvent()      {}
 func (Used) isEvent()         {}
+func (Heard) isEvent()        {}
 func (Stopping) isEvent()     {}
--- a/move/move.go
+++ b/move/move.go
@@ -11,21 +11,26 @@
 // Decide is a pure function; package entry carries its decisions out.
 package move
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// Notice is the time that a leaving engine is counted on to go on. The
 	// platform reclaims engines 1.5 s after the notice at the earliest.
 	Notice = 1500 * time.Millisecond
-	// stayFactor is how many times the expected time to a generation's end must
-	// fit the rest of the notice for it to stay. Expected lengths are often wrong
-	// by a factor, and a copy that was not needed costs little.
-	stayFactor = 3
+	// almostDone is the expected time to its end below which a generation that
+	// has made most of its expected events is not worth a copy.
+	almostDone = 100 * time.Millisecond
+	// copyBudget is the time within which the first copies of all generations on
+	// an engine must pass its link, so that the final ones still fit the notice.
+	copyBudget = 1150 * time.Millisecond
 	// finalAt is the time after the notice before which no generation is stopped
 	// for its final copy. Copies queue on the engine's link; by then the long
 	// first copies have passed, so that the short final ones do not wait behind
 	// them while their generations stand still.
-	finalAt = 1050 * time.Millisecond
+	finalAt = 1200 * time.Millisecond
 	// backupAge is the age from which a backup holds the prompt: its copy of some
 	// thousand tokens queues on two links.
 	backupAge = 1200 * time.Millisecond
@@ -44,7 +49,7 @@
 	Remaining time.Duration // expected until its end
 	Heard     time.Duration // since the engine was heard to be leaving
 	Backup    bool          // the engine that keeps a copy is listed and stays
-	Movable   bool          // engines of the service can copy a running generation
+	Movable   bool          // it is to be copied
 	Failed    int           // copies that were tried within the notice
 }
 
@@ -76,7 +81,7 @@
 func Decide(r Run) Action {
 	left := Notice - r.Heard
 	switch {
-	case r.Events > 0 && 2*r.Events > r.Expected && r.Remaining*stayFactor < left:
+	case r.Events > 0 && r.Remaining < almostDone:
 		return Stay{}
 	case r.Events > 0 && r.Backup && r.Age >= backupAge:
 		return Switch{}
@@ -88,6 +93,41 @@
 	return Stay{}
 }
 
+// Item is a generation on an engine that is leaving, as Plan sees it.
+type Item struct {
+	Size int           // expected tokens of prompt and output, which its worth follows
+	Copy time.Duration // time that its first copy takes on the engine's link
+}
+
+// Plan chooses which of a node's generations on a leaving engine are copied.
+// Load pattern: after several engines have left, each of the others runs more
+// generations than its link can carry away within the notice. Copies that all
+// begin at once would then all be late; the largest that fit are saved
+// instead. The link is shared with the generations of other nodes, so that
+// each node uses the part of it that is its part of the generations. The
+// fraction in [0, 1) decides whether a part of a copy is rounded up.
+func Plan(own []Item, elsewhere int, fraction float64) []bool {
+	chosen := make([]bool, len(own))
+	if len(own) == 0 {
+		return chosen
+	}
+	order := make([]int, len(own))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return own[order[a]].Size > own[order[b]].Size })
+	left := float64(copyBudget) * float64(len(own)) / float64(len(own)+elsewhere)
+	for _, i := range order {
+		need := float64(own[i].Copy)
+		if need > left+fraction*need {
+			break
+		}
+		chosen[i] = true
+		left -= need
+	}
+	return chosen
+}
+
 // Final returns how long to wait for the final copy of a generation whose
 // first copy is complete.
 func Final(heard time.Duration) time.Duration {
@@ -105,7 +145,7 @@
 	if made == 0 {
 		return time.Hour
 	}
-	left := max(expected-made, made/overrun)
+	left := max(expected-made, made/overrun, leastLeft)
 	pace := max(elapsed/time.Duration(made), eventTime)
 	return pace * time.Duration(left)
 }
@@ -116,3 +156,7 @@
 // overrun is the divisor of what a generation beyond its expected length has
 // made, which gives what it will still make.
 const overrun = 3
+
+// leastLeft is the least number of events that a generation is expected to
+// still make: expected lengths are often wrong by a factor.
+const leastLeft = 4
