Admit generations by expected memory; turn the rest away at once with a time to return

Cause: with engines gone and not replaced, new generations filled the others, which preempted running ones: 35,000 prompt tokens read again.

--- a/entry/call.go
+++ b/entry/call.go
@@ -52,7 +52,7 @@
 			continue
 		case errors.As(err, &refused):
 			if refusals++; refusals >= maxRefusals {
-				return l.giveUp(ctx, cause)
+				return s.giveUp(ctx, l, cause)
 			}
 			continue
 		case err == nil:
@@ -68,7 +68,7 @@
 		out.Start(last.status, last.header, int64(len(last.body)))
 		return s.deliver(out, last.body)
 	}
-	return l.giveUp(ctx, cause)
+	return s.giveUp(ctx, l, cause)
 }
 
 func (s *Server) deliver(out Answer, body []byte) *apierr.Error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -321,18 +321,26 @@
 	return s.window(l.service.Name).Allow(time.Now(), nodes)
 }
 
+// Returns a time between d and twice d, so that requests that were turned away
+// together do not come back together.
+func (s *Server) spread(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d + time.Duration(s.rand.Int64N(int64(d)))
+}
+
 func (s *Server) record(kind string, req *Request, endpoint, detail string) {
 	s.cfg.Daemon.Record(trace.Entry{Kind: kind, Request: req.ID, Endpoint: endpoint, Detail: detail})
 }
 
 // Returns the final answer to a request that got none from an endpoint.
-func (l *life) giveUp(ctx context.Context, cause error) *apierr.Error {
+func (s *Server) giveUp(ctx context.Context, l *life, cause error) *apierr.Error {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
 	case !l.sent && expired:
 		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeDeadline, "no endpoint of %q took the request in time", l.service.Name).WithRetry(timeoutRetry)
 	case !l.sent:
-		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q took the request: %v", l.service.Name, cause).WithRetry(fullRetry)
+		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q took the request: %v", l.service.Name, cause).WithRetry(s.spread(fullRetry))
 	case expired:
 		return apierr.Unknown(http.StatusGatewayTimeout, apierr.CodeDeadline, "the answer did not come in time")
 	}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -204,7 +204,7 @@
 	now := time.Now()
 	var near, far []fleet.Endpoint
 	for _, e := range s.usable(now, view, r.life.service.Name, append(avoid, x.endpoint.ID)) {
-		if !place.Fits(place.Need{Tokens: r.tokens}, s.candidate(now, view, r.life.service, e, x.endpoint.Centre)) {
+		if !place.Fits(place.Need{Tokens: r.tokens}, s.candidate(now, view, r.life.service, e, x.endpoint.Centre), place.RoomReturned) {
 			continue
 		}
 		if e.Centre == x.endpoint.Centre {
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -145,20 +145,30 @@
 // Chooses an endpoint of the service, rather in a data centre, that is neither
 // leaving nor in avoid.
 func (s *Server) choose(svc *table.Service, centre string, need place.Need, avoid ...string) (fleet.Endpoint, bool) {
+	return s.chooseFitting(svc, centre, need, 0, avoid)
+}
+
+// Chooses like choose, but only an endpoint that has room for the request in a
+// share of its memory, if share is not zero.
+func (s *Server) chooseFitting(svc *table.Service, centre string, need place.Need, share float64, avoid []string) (fleet.Endpoint, bool) {
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	usable := s.usable(now, view, svc.Name, avoid)
-	list := make([]place.Candidate, len(usable))
-	for i, e := range usable {
-		list[i] = s.candidate(now, view, svc, e, centre)
+	var fitting []fleet.Endpoint
+	var list []place.Candidate
+	for _, e := range s.usable(now, view, svc.Name, avoid) {
+		c := s.candidate(now, view, svc, e, centre)
+		if share == 0 || place.Fits(need, c, share) {
+			fitting = append(fitting, e)
+			list = append(list, c)
+		}
 	}
 	i, ok := place.Choose(need, list, s.rand)
 	if !ok {
 		return fleet.Endpoint{}, false
 	}
-	return usable[i], true
+	return fitting[i], true
 }
 
 // Returns the endpoints that may be given work: those that accept connections,
--- a/place/place.go
+++ b/place/place.go
@@ -17,10 +17,17 @@
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
 	tokenWeight  = 1.0  // of KV-cache memory against slots
-	roomShare    = 0.9  // of an engine's memory that is counted on, as lengths are only expected
 	promptScale  = 8000 // prompt tokens, read in about a second, that weigh as much as all slots
 )
 
+// Shares of an engine's memory that are given out by expected lengths. What is
+// left absorbs answers that become longer than expected.
+const (
+	RoomNew      = 0.85 // to generations that can come back later
+	RoomReturned = 0.95 // to those that have been turned away before
+	RoomUrgent   = 1.0  // to the most urgent, which are short
+)
+
 // Candidate is an endpoint as this node knows it.
 type Candidate struct {
 	ID       string
@@ -84,7 +91,8 @@
 	return a, true
 }
 
-// Fits reports whether c has a slot and memory for the request.
-func Fits(n Need, c Candidate) bool {
-	return c.Requests < c.Slots && (c.Memory == 0 || float64(c.Tokens+n.Tokens) <= roomShare*float64(c.Memory))
+// Fits reports whether c has a slot and memory for the request, up to a share
+// of its memory.
+func Fits(n Need, c Candidate, share float64) bool {
+	return c.Requests < c.Slots && (c.Memory == 0 || float64(c.Tokens+n.Tokens) <= share*float64(c.Memory))
 }
