--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -164,7 +164,7 @@
 			list = append(list, c)
 		}
 	}
-	i, ok := place.Choose(need, list, s.rand)
+	i, ok := place.Choose(need, list, view.Peers(), s.rand)
 	if !ok {
 		return fleet.Endpoint{}, false
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -285,7 +285,7 @@
 		if err == nil {
 			r.arrived(x)
 		}
-		if err == nil || errors.Is(err, io.EOF) {
+		if err == nil || errors.Is(err, io.EOF) && !r.started {
 			if writeErr := r.write(e); writeErr != nil {
 				r.out.Abort()
 				return true
@@ -304,9 +304,6 @@
 
 // Gives an event to the caller.
 func (r *run) write(e relay.Event) error {
-	if len(e.Raw) == 0 && r.started {
-		return nil
-	}
 	if !r.started {
 		r.started = true
 		r.out.Start(http.StatusOK, r.header, -1)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,11 +19,15 @@
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/owner"
 	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
 const (
+	readers      = 2                      // nodes of each data centre that watch the store
+	newsLife     = 2 * time.Second        // without an answer of the store to any node
 	digestPeriod = time.Second            // between two comparisons with a neighbour
 	wantTimeout  = 500 * time.Millisecond // an unanswered Want is repeated
 	removedLife  = time.Minute            // a removal is remembered against late news
@@ -68,6 +72,8 @@
 	digest    uint64
 	digestAt  time.Time
 	wanted    map[string]time.Time // when a neighbour was asked last
+	contact   time.Time            // when the store answered this node last
+	news      time.Time            // when it answered any node last, as far as this one has heard
 	own       []*wire.Use
 	ownSeq    uint64
 	ownAt     time.Time
@@ -126,6 +132,27 @@
 // Peers returns the number of other nodes that have told their usage.
 func (v *View) Peers() int { return len(v.usages) }
 
+// News returns when the store answered any node last, as far as this one has
+// heard.
+func (v *View) News() time.Time { return v.news }
+
+// Reader reports whether this node is one of those that watch the store and
+// pass on what they hear. So is every node while it has heard of no answer of
+// the store for newsLife, since the readers may all be gone.
+func Reader(s kernel.State, now time.Time) bool {
+	v, m := Of(s), member.Of(s)
+	if !v.listed || now.Sub(v.news) >= newsLife {
+		return true
+	}
+	var here []string
+	for _, id := range m.Owners() {
+		if p, ok := m.Get(id); ok && p.Member.GetCentre() == m.Self().GetCentre() {
+			here = append(here, id)
+		}
+	}
+	return owner.Among("store", m.Self().GetId(), readers, here)
+}
+
 // Revision returns the highest store revision of any known item.
 func (v *View) Revision() int64 {
 	var most int64
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -19,9 +19,11 @@
 	case kernel.Tick:
 		return v.tick(now, member.Of(s))
 	case kernel.Learned:
-		return v.learn(now, member.Of(s), "", e.Items, e.Listed)
+		next, effects := v.learn(now, member.Of(s), "", e.Items, e.Listed)
+		next.contact, next.news = now, now
+		return next, effects
 	case kernel.Heard:
-		return v.hear(member.Of(s), e.Endpoint)
+		return v.hear(now, member.Of(s), e.Endpoint)
 	case kernel.Used:
 		next := *v
 		next.own = e.Uses
@@ -212,7 +214,7 @@
 	period := usageStep * time.Duration(m.Len())
 	if now.Sub(v.ownAt) >= period {
 		next.ownAt = now
-		effects = append(effects, next.tell(m)...)
+		effects = append(effects, next.tell(now, m)...)
 		next.forgetUsages(now, period)
 	}
 	return &next, effects
@@ -237,9 +239,13 @@
 }
 
 // Tells the other nodes what this one runs.
-func (v *View) tell(m *member.View) []kernel.Effect {
+func (v *View) tell(now time.Time, m *member.View) []kernel.Effect {
 	v.ownSeq++
-	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Seq: v.ownSeq, Uses: v.own, Leaving: slices.Sorted(maps.Keys(v.heard))}}}
+	var contact uint32
+	if !v.contact.IsZero() {
+		contact = uint32(now.Sub(v.contact).Milliseconds()) + 1
+	}
+	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Seq: v.ownSeq, Uses: v.own, Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: contact}}}
 	var effects []kernel.Effect
 	for _, id := range m.Owners() {
 		if id != m.Self().GetId() {
@@ -250,13 +256,13 @@
 }
 
 // Takes in an endpoint's own word and passes it on at once.
-func (v *View) hear(m *member.View, id string) (*View, []kernel.Effect) {
+func (v *View) hear(now time.Time, m *member.View, id string) (*View, []kernel.Effect) {
 	next := *v
 	effects := next.believe([]string{id})
 	if len(effects) == 0 {
 		return v, nil
 	}
-	return &next, append(effects, next.tell(m)...)
+	return &next, append(effects, next.tell(now, m)...)
 }
 
 // Marks endpoints as leaving. It returns no effect when all were known to be.
@@ -290,6 +296,11 @@
 	if next.usages == nil {
 		next.usages = map[string]usage{}
 	}
+	if u.GetContact() > 0 {
+		if at := now.Add(-time.Duration(u.GetContact()-1) * time.Millisecond); at.After(next.news) {
+			next.news = at
+		}
+	}
 	next.usages[from] = usage{seq: u.GetSeq(), at: now, uses: u.GetUses()}
 	next.sum()
 	return &next
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -110,7 +110,8 @@
 	Leaving   bool
 }
 
-// Learned brings items that the platform's store holds.
+// Learned brings items that the platform's store holds. Without items it says
+// that the store has answered.
 type Learned struct {
 	Items  []*wire.Item
 	Listed bool // every item of the store has been given
--- a/place/place.go
+++ b/place/place.go
@@ -1,18 +1,18 @@
 // Package place chooses the endpoint for a request.
 //
-// Choose is a pure function over what a node knows of the endpoints. Several
-// nodes choose at once by lagging knowledge of each other; it answers that
-// load pattern by drawing two of the endpoints that are nearly as good as the
-// best and taking the better one, so that the nodes do not all take the same.
+// Choose is a pure function over what a node knows of the endpoints. Load
+// pattern: many nodes choose at once by lagging knowledge of each other, and an
+// engine that has just started looks best to all of them. Choose keeps as many
+// of the best endpoints as there are nodes, at most half of all, draws two of
+// them and takes the better one.
 package place
 
 import (
-	"math"
 	"math/rand/v2"
+	"sort"
 )
 
 const (
-	nearBest     = 0.15 // scores within this of the best are drawn from
 	farPenalty   = 0.02 // of an endpoint in another data centre
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
@@ -68,27 +68,21 @@
 }
 
 // Choose returns the index of the endpoint to use, or false if there is none.
-func Choose(n Need, list []Candidate, r *rand.Rand) (int, bool) {
+// Peers is the number of nodes that choose at the same time.
+func Choose(n Need, list []Candidate, peers int, r *rand.Rand) (int, bool) {
 	if len(list) == 0 {
 		return 0, false
 	}
 	scores := make([]float64, len(list))
-	best := math.Inf(1)
+	order := make([]int, len(list))
 	for i, c := range list {
 		scores[i] = Score(n, c)
-		best = min(best, scores[i])
+		order[i] = i
 	}
-	var near []int
-	for i, s := range scores {
-		if s <= best+nearBest {
-			near = append(near, i)
-		}
-	}
-	a, b := near[r.IntN(len(near))], near[r.IntN(len(near))]
-	if scores[b] < scores[a] {
-		return b, true
-	}
-	return a, true
+	sort.Slice(order, func(a, b int) bool { return scores[order[a]] < scores[order[b]] })
+	keep := max(1, min(peers+1, len(list)/2))
+	a, b := r.IntN(keep), r.IntN(keep)
+	return order[min(a, b)], true
 }
 
 // Fits reports whether c has a slot and memory for the request, up to a share
--- a/relay/event.go
+++ b/relay/event.go
@@ -31,8 +31,7 @@
 }
 
 // Next returns the next whole event. It returns io.EOF at the end of a whole
-// stream, with what followed the last event, and another error when the
-// stream broke off.
+// stream, and another error when the stream broke off, also within an event.
 func (e *EventReader) Next() (Event, error) {
 	e.buf = e.buf[:0]
 	var id string
@@ -45,8 +44,11 @@
 		if err == bufio.ErrBufferFull {
 			continue
 		}
+		if err == io.EOF && len(bytes.TrimSpace(e.buf)) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
-			return Event{Raw: e.buf}, err
+			return Event{}, err
 		}
 		text := strings.TrimRight(string(line), "\r\n")
 		if text == "" && len(bytes.TrimSpace(e.buf)) > 0 {
