Tell close nodes at once what changes in the usage of engines

Cause: usage told every 825 ms on 33 nodes; requests of that time went to the same engines (first event 773 ms at the median, 306 generations late). Change: each node sends changes at once, to all nodes of a small deployment and to those of its data centre in a large one; engines whose load is known late are used only when the near ones are fuller; a choice keeps four engines.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,7 +36,7 @@
 const (
 	unreadyRetry = 300 * time.Millisecond // a node that knows no table yet expects one within this time
 	fullRetry    = 400 * time.Millisecond // for a place to become free
-	reportPeriod = 100 * time.Millisecond // between two reports of what runs to the kernel
+	reportPeriod = 20 * time.Millisecond  // between two reports of what runs to the kernel
 )
 
 // Request is one request of a caller.
@@ -126,6 +126,7 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	ledger *ledger
+	meshed bool                     // all nodes tell each other their usage at once
 	retry  map[string]*retry.Window // by service
 	runs   map[*run]bool
 	jobs   sync.WaitGroup
@@ -156,6 +157,9 @@
 			case <-ctx.Done():
 			case now := <-t.C:
 				s.probe(ctx, now)
+				s.mu.Lock()
+				s.meshed = fleet.Meshed(s.cfg.Daemon.State())
+				s.mu.Unlock()
 				if event, changed := s.used(now); changed {
 					s.cfg.Daemon.Post(ctx, event)
 				}
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -16,6 +16,7 @@
 	failLife   = 2 * time.Second        // time in which an outcome loses all but 1/e of its weight
 	shunFirst  = 500 * time.Millisecond // after a connection that was not accepted; doubles
 	shunMost   = 4 * time.Second
+	rivals     = 3           // nodes that choose within the time that news takes, at most
 	failPrior  = 1.0         // successes that an endpoint without a history is credited with
 	forgetIdle = time.Minute // an unused endpoint is dropped from the ledger
 )
@@ -164,7 +165,7 @@
 			list = append(list, c)
 		}
 	}
-	i, ok := place.Choose(need, list, view.Peers(), s.rand)
+	i, ok := place.Choose(need, list, min(view.Peers(), rivals), s.rand)
 	if !ok {
 		return fleet.Endpoint{}, false
 	}
@@ -195,6 +196,7 @@
 	c := place.Candidate{
 		ID:       e.ID,
 		Near:     e.Centre == centre,
+		Stale:    e.Centre != s.cfg.Centre && !s.meshed,
 		Slots:    e.Slots,
 		Requests: other.Requests,
 		Tokens:   other.Tokens,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,8 +31,9 @@
 	digestPeriod = time.Second            // between two comparisons with a neighbour
 	wantTimeout  = 500 * time.Millisecond // an unanswered Want is repeated
 	removedLife  = time.Minute            // a removal is remembered against late news
-	usageStep    = 25 * time.Millisecond  // between two Usages, for each node of the deployment
-	usageLife    = 40                     // a node's Usage counts for this many periods
+	usageStep    = 100 * time.Millisecond // between two whole Usages, for each node of the deployment
+	usageLife    = 10                     // a node's Usage counts for this many periods
+	meshMost     = 12                     // nodes up to which all tell each other their changes at once
 )
 
 var handle kernel.Handle[*View]
@@ -74,8 +75,7 @@
 	wanted    map[string]time.Time // when a neighbour was asked last
 	contact   time.Time            // when the store answered this node last
 	news      time.Time            // when it answered any node last, as far as this one has heard
-	own       []*wire.Use
-	ownSeq    uint64
+	own       map[string]Use       // what this node runs, by endpoint
 	ownAt     time.Time
 	usages    map[string]usage // by peer
 	elsewhere map[string]Use   // by endpoint, summed over the peers
@@ -91,9 +91,8 @@
 
 // usage is what one peer runs.
 type usage struct {
-	seq  uint64
 	at   time.Time
-	uses []*wire.Use
+	uses map[string]Use
 }
 
 // Use is what runs on one endpoint.
@@ -132,6 +131,12 @@
 // Peers returns the number of other nodes that have told their usage.
 func (v *View) Peers() int { return len(v.usages) }
 
+// Meshed reports whether every node tells every other one at once what changes
+// in its usage. Otherwise only those of one data centre do.
+func Meshed(s kernel.State) bool {
+	return len(member.Of(s).Owners()) <= meshMost
+}
+
 // News returns when the store answered any node last, as far as this one has
 // heard.
 func (v *View) News() time.Time { return v.news }
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -25,9 +25,7 @@
 	case kernel.Heard:
 		return v.hear(now, member.Of(s), e.Endpoint)
 	case kernel.Used:
-		next := *v
-		next.own = e.Uses
-		return &next, nil
+		return v.used(s, e.Uses)
 	case kernel.Received:
 		return v.received(now, member.Of(s), e)
 	}
@@ -238,14 +236,66 @@
 	v.index()
 }
 
+// Takes in what this node runs, and tells the close nodes what has changed.
+// Load pattern: requests that arrive at several nodes within milliseconds must
+// not all be given to the engine that was the emptiest a second ago.
+func (v *View) used(s kernel.State, uses []*wire.Use) (*View, []kernel.Effect) {
+	next := *v
+	next.own = usesOf(uses)
+	var changes []*wire.Use
+	for id, u := range next.own {
+		if v.own[id] != u {
+			changes = append(changes, wireUse(id, u))
+		}
+	}
+	for id := range v.own {
+		if _, still := next.own[id]; !still {
+			changes = append(changes, wireUse(id, Use{}))
+		}
+	}
+	if len(changes) == 0 {
+		return &next, nil
+	}
+	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Changes: true, Uses: changes}}}
+	var effects []kernel.Effect
+	m := member.Of(s)
+	all := Meshed(s)
+	for _, id := range m.Owners() {
+		p, ok := m.Get(id)
+		if ok && id != m.Self().GetId() && (all || p.Member.GetCentre() == m.Self().GetCentre()) {
+			effects = append(effects, kernel.Send{To: id, Frame: frame})
+		}
+	}
+	return &next, effects
+}
+
+func usesOf(list []*wire.Use) map[string]Use {
+	uses := make(map[string]Use, len(list))
+	for _, u := range list {
+		uses[u.GetEndpoint()] = useOf(u)
+	}
+	return uses
+}
+
+func useOf(u *wire.Use) Use {
+	return Use{Requests: int(u.GetRequests()), Tokens: int(u.GetTokens()), Prompt: int(u.GetPrompt())}
+}
+
+func wireUse(id string, u Use) *wire.Use {
+	return &wire.Use{Endpoint: id, Requests: uint32(u.Requests), Tokens: uint32(u.Tokens), Prompt: uint32(u.Prompt)}
+}
+
 // Tells the other nodes what this one runs.
 func (v *View) tell(now time.Time, m *member.View) []kernel.Effect {
-	v.ownSeq++
 	var contact uint32
 	if !v.contact.IsZero() {
 		contact = uint32(now.Sub(v.contact).Milliseconds()) + 1
 	}
-	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Seq: v.ownSeq, Uses: v.own, Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: contact}}}
+	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: contact}
+	for _, id := range slices.Sorted(maps.Keys(v.own)) {
+		u.Uses = append(u.Uses, wireUse(id, v.own[id]))
+	}
+	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}
 	var effects []kernel.Effect
 	for _, id := range m.Owners() {
 		if id != m.Self().GetId() {
@@ -290,48 +340,71 @@
 	return effects
 }
 
+// Takes in what another node runs.
 func (v *View) usage(now time.Time, from string, u *wire.Usage) *View {
 	next := *v
-	next.usages = maps.Clone(v.usages)
-	if next.usages == nil {
-		next.usages = map[string]usage{}
-	}
 	if u.GetContact() > 0 {
 		if at := now.Add(-time.Duration(u.GetContact()-1) * time.Millisecond); at.After(next.news) {
 			next.news = at
 		}
 	}
-	next.usages[from] = usage{seq: u.GetSeq(), at: now, uses: u.GetUses()}
-	next.sum()
+	old, known := v.usages[from]
+	uses := usesOf(u.GetUses())
+	if u.GetChanges() {
+		if !known {
+			return &next // the whole Usage follows
+		}
+		uses = maps.Clone(old.uses)
+		for _, c := range u.GetUses() {
+			if use := useOf(c); use != (Use{}) {
+				uses[c.GetEndpoint()] = use
+			} else {
+				delete(uses, c.GetEndpoint())
+			}
+		}
+	}
+	next.usages = maps.Clone(v.usages)
+	if next.usages == nil {
+		next.usages = map[string]usage{}
+	}
+	next.usages[from] = usage{at: now, uses: uses}
+	next.elsewhere = maps.Clone(v.elsewhere)
+	if next.elsewhere == nil {
+		next.elsewhere = map[string]Use{}
+	}
+	next.count(old.uses, -1)
+	next.count(uses, 1)
 	return &next
 }
 
+// Adds what a node runs to the sums over all nodes, or takes it off.
+func (v *View) count(uses map[string]Use, sign int) {
+	for id, u := range uses {
+		s := v.elsewhere[id]
+		s.Requests += sign * u.Requests
+		s.Tokens += sign * u.Tokens
+		s.Prompt += sign * u.Prompt
+		if s == (Use{}) {
+			delete(v.elsewhere, id)
+		} else {
+			v.elsewhere[id] = s
+		}
+	}
+}
+
 // Forgets nodes that have not told their usage for long.
 func (v *View) forgetUsages(now time.Time, period time.Duration) {
 	changed := false
 	for id, u := range v.usages {
-		if now.Sub(u.at) >= usageLife*period {
-			if !changed {
-				v.usages = maps.Clone(v.usages)
-				changed = true
-			}
-			delete(v.usages, id)
+		if now.Sub(u.at) < usageLife*period {
+			continue
 		}
-	}
-	if changed {
-		v.sum()
-	}
-}
-
-func (v *View) sum() {
-	v.elsewhere = map[string]Use{}
-	for _, u := range v.usages {
-		for _, use := range u.uses {
-			s := v.elsewhere[use.GetEndpoint()]
-			s.Requests += int(use.GetRequests())
-			s.Tokens += int(use.GetTokens())
-			s.Prompt += int(use.GetPrompt())
-			v.elsewhere[use.GetEndpoint()] = s
+		if !changed {
+			v.usages = maps.Clone(v.usages)
+			v.elsewhere = maps.Clone(v.elsewhere)
+			changed = true
 		}
+		v.count(u.uses, -1)
+		delete(v.usages, id)
 	}
 }
--- a/place/place.go
+++ b/place/place.go
@@ -2,9 +2,9 @@
 //
 // Choose is a pure function over what a node knows of the endpoints. Load
 // pattern: many nodes choose at once by lagging knowledge of each other, and an
-// engine that has just started looks best to all of them. Choose keeps as many
-// of the best endpoints as there are nodes, at most half of all, draws two of
-// them and takes the better one.
+// engine that has just started looks best to all of them. Choose keeps one of
+// the best endpoints more than nodes choose within the time that news takes, at
+// most half of all, draws two of them and takes the better one.
 package place
 
 import (
@@ -14,6 +14,7 @@
 
 const (
 	farPenalty   = 0.02 // of an endpoint in another data centre
+	stalePenalty = 0.2  // of one whose load is known only late
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
 	tokenWeight  = 1.0  // of KV-cache memory against slots
@@ -32,6 +33,7 @@
 type Candidate struct {
 	ID       string
 	Near     bool // in this node's data centre
+	Stale    bool // the other nodes' requests there are known only seconds late
 	Slots    int
 	Requests int     // running or waiting there, from all nodes
 	Memory   int     // KV-cache memory, tokens; 0 for a plain service
@@ -64,12 +66,15 @@
 	if !c.Near {
 		score += farPenalty
 	}
+	if c.Stale {
+		score += stalePenalty
+	}
 	return score + failPenalty*c.Failing
 }
 
 // Choose returns the index of the endpoint to use, or false if there is none.
-// Peers is the number of nodes that choose at the same time.
-func Choose(n Need, list []Candidate, peers int, r *rand.Rand) (int, bool) {
+// Rivals is the number of nodes that choose before this node hears of it.
+func Choose(n Need, list []Candidate, rivals int, r *rand.Rand) (int, bool) {
 	if len(list) == 0 {
 		return 0, false
 	}
@@ -80,7 +85,7 @@
 		order[i] = i
 	}
 	sort.Slice(order, func(a, b int) bool { return scores[order[a]] < scores[order[b]] })
-	keep := max(1, min(peers+1, len(list)/2))
+	keep := max(1, min(rivals+1, len(list)/2))
 	a, b := r.IntN(keep), r.IntN(keep)
 	return order[min(a, b)], true
 }
