Weigh waiting prompts and stale knowledge more; let readers tell that the store answers

Cause: nodes far from a request's engine knew its load seconds late and filled it; readers' word that the store answers came every 3.3 s on 33 nodes, beyond the 2 s after which every node watches for itself (found by TestReaders).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,7 +26,8 @@
 )
 
 const (
-	readers      = 2                      // nodes of each data centre that watch the store
+	readers      = 2                      // nodes of each data centre that watch the store, in a small deployment
+	contactPause = 600 * time.Millisecond // between two words of a reader that the store answers
 	newsLife     = 2 * time.Second        // without an answer of the store to any node
 	digestPeriod = time.Second            // between two comparisons with a neighbour
 	wantTimeout  = 500 * time.Millisecond // an unanswered Want is repeated
@@ -74,6 +75,7 @@
 	digestAt  time.Time
 	wanted    map[string]time.Time // when a neighbour was asked last
 	contact   time.Time            // when the store answered this node last
+	toldAt    time.Time            // when this node told the others so
 	news      time.Time            // when it answered any node last, as far as this one has heard
 	own       map[string]Use       // what this node runs, by endpoint
 	ownAt     time.Time
@@ -155,7 +157,11 @@
 			here = append(here, id)
 		}
 	}
-	return owner.Among("store", m.Self().GetId(), readers, here)
+	n := readers
+	if !Meshed(s) {
+		n = 1
+	}
+	return owner.Among("store", m.Self().GetId(), n, here)
 }
 
 // Revision returns the highest store revision of any known item.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -209,6 +209,10 @@
 			effects = append(effects, next.send(id, nil))
 		}
 	}
+	if now.Sub(v.contact) < contactPause && now.Sub(v.toldAt) >= contactPause {
+		next.toldAt = now
+		effects = append(effects, toOthers(m, &wire.Usage{Changes: true, Contact: v.sinceContact(now)})...)
+	}
 	period := usageStep * time.Duration(m.Len())
 	if now.Sub(v.ownAt) >= period {
 		next.ownAt = now
@@ -287,14 +291,23 @@
 
 // Tells the other nodes what this one runs.
 func (v *View) tell(now time.Time, m *member.View) []kernel.Effect {
-	var contact uint32
-	if !v.contact.IsZero() {
-		contact = uint32(now.Sub(v.contact).Milliseconds()) + 1
-	}
-	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: contact}
+	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: v.sinceContact(now)}
 	for _, id := range slices.Sorted(maps.Keys(v.own)) {
 		u.Uses = append(u.Uses, wireUse(id, v.own[id]))
 	}
+	return toOthers(m, u)
+}
+
+// Returns the time since the store answered this node, in the form of a Usage.
+func (v *View) sinceContact(now time.Time) uint32 {
+	if v.contact.IsZero() {
+		return 0
+	}
+	return uint32(now.Sub(v.contact).Milliseconds()) + 1
+}
+
+// Sends a Usage to every other node.
+func toOthers(m *member.View, u *wire.Usage) []kernel.Effect {
 	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}
 	var effects []kernel.Effect
 	for _, id := range m.Owners() {
--- a/place/place.go
+++ b/place/place.go
@@ -14,11 +14,11 @@
 
 const (
 	farPenalty   = 0.02 // of an endpoint in another data centre
-	stalePenalty = 0.2  // of one whose load is known only late
+	stalePenalty = 1.0  // of one whose load is known only late
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
 	tokenWeight  = 1.0  // of KV-cache memory against slots
-	promptScale  = 8000 // prompt tokens, read in about a second, that weigh as much as all slots
+	promptScale  = 4000 // prompt tokens, read in about half a second, that weigh as much as all slots
 )
 
 // Shares of an engine's memory that are given out by expected lengths. What is
