--- /dev/null
+++ b/cmds/explain.go
@@ -0,0 +1,74 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/trace"
+	"github.com/spf13/cobra"
+)
+
+func explainCommand() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "explain ID [FILE...]",
+		Short: "Tell the life of one request from the logs of several processes",
+		Long: "Tell the life of one request, in order, with the decision that settled it, from the log files of several\n" +
+			"processes, or from standard input. The clocks of the hosts may differ.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lists, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			return explain(cmd.OutOrStdout(), trace.Explain(args[0], lists...), asJSON)
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func readLogs(in io.Reader, paths []string) ([][]trace.Entry, error) {
+	if len(paths) == 0 {
+		list, err := trace.ReadLines(in)
+		return [][]trace.Entry{list}, errors.Wrap(err, "read standard input")
+	}
+	var lists [][]trace.Entry
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "read log")
+		}
+		list, err := trace.ReadLines(f)
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "read log %s", path)
+		}
+		lists = append(lists, list)
+	}
+	return lists, nil
+}
+
+func explain(out io.Writer, life trace.Life, asJSON bool) error {
+	if len(life.Entries) == 0 {
+		return errors.Errorf("no line of these logs names request %q", life.Request)
+	}
+	if asJSON {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(life)
+	}
+	start := life.Entries[0].Logical
+	for _, e := range life.Entries {
+		fmt.Fprintf(out, "%9.3f s  %-20s %-14s %-14s %s\n", float64(e.Logical-start)/1e6, e.Process, e.Kind, e.Endpoint, e.Detail)
+	}
+	if life.Settled != nil {
+		fmt.Fprintf(out, "settled by: %s at %s: %s\n", life.Settled.Kind, life.Settled.Process, life.Settled.Detail)
+	}
+	return nil
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -52,7 +52,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.AddCommand(nodeCommand(), callCommand(), applyCommand(), getCommand(), diffCommand(),
-		historyCommand(), statusCommand(), timelineCommand(), hashCommand(), loadCommand(), platformCommand())
+		historyCommand(), statusCommand(), timelineCommand(), hashCommand(), loadCommand(), platformCommand(), explainCommand())
 	return root
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -34,10 +34,11 @@
 	var cause error
 	runs, refusals := 0, 0
 	for ctx.Err() == nil {
-		e, ok := s.choose(l.service, s.cfg.Centre, place.Need{}, l.tried...)
+		e, c, ok := s.chooseFitting(l.service, s.cfg.Centre, place.Need{}, 0, l.tried)
 		if !ok || runs+refusals > 0 && !s.mayRepeat(l) {
 			break
 		}
+		s.placed(l, c)
 		l.tried = append(l.tried, e.ID)
 		r, err := s.once(ctx, l, e)
 		if err == nil && (r.status < http.StatusInternalServerError || !l.route.Repeatable()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -27,6 +28,7 @@
 	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/retry"
 	"github.com/plantaindeck/plantaindeck/table"
@@ -122,28 +124,31 @@
 
 // Server serves the requests of one node.
 type Server struct {
-	cfg    Config
-	mu     sync.Mutex
-	rand   *rand.Rand
-	ledger *ledger
-	meshed bool                     // all nodes tell each other their usage at once
-	retry  map[string]*retry.Window // by service
-	runs   map[*run]bool
-	jobs   sync.WaitGroup
-	active int
-	probed time.Time // used by Run only
-	until  time.Time // answers must have ended; zero while not stopping
+	cfg      Config
+	mu       sync.Mutex
+	rand     *rand.Rand
+	ledger   *ledger
+	counters *counters
+	meshed   bool                     // all nodes tell each other their usage at once
+	retry    map[string]*retry.Window // by service
+	runs     map[*run]bool
+	jobs     sync.WaitGroup
+	active   int
+	probed   time.Time // used by Run only
+	until    time.Time // answers must have ended; zero while not stopping
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{
+	s := &Server{
 		cfg:    cfg,
 		rand:   rand.New(rand.NewPCG(cfg.Seed, 7)),
 		ledger: newLedger(),
 		retry:  map[string]*retry.Window{},
 		runs:   map[*run]bool{},
 	}
+	s.counters = newCounters(cfg.Daemon.Metrics(), s)
+	return s
 }
 
 // Run reports what runs on endpoints to the kernel until ctx ends.
@@ -203,15 +208,21 @@
 	}()
 	err := s.serve(ctx, req, out)
 	if err == nil {
-		s.cfg.Daemon.Record(trace.Entry{Kind: "answered", Request: req.ID, Routine: true})
-	}
-	if err != nil {
-		err = err.WithRequest(req.ID)
-		s.record("failed", req, "", err.Error())
+		s.cfg.Daemon.Record(trace.Entry{Kind: "ended", Request: req.ID, Routine: true, Detail: fmt.Sprintf("after %s", time.Since(req.Arrived).Round(time.Millisecond))})
+		return nil
 	}
+	err = err.WithRequest(req.ID)
+	s.record("failed", req, "", fmt.Sprintf("status %d after %s: %v", err.Status, time.Since(req.Arrived).Round(time.Millisecond), err))
 	return err
 }
 
+// Records which endpoint a request is sent to, and what the choice went by.
+func (s *Server) placed(l *life, c place.Candidate) {
+	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: l.req.ID, Workspace: l.workspace, Endpoint: c.ID, Routine: true, Detail: fmt.Sprintf(
+		"attempt %d on route %s (table version %d), %s left; there %d of %d slots, %d of %d tokens, %d prompt tokens wait, %.2f failing",
+		len(l.tried)+1, l.route.Name, l.version, time.Until(l.deadline).Round(time.Millisecond), c.Requests, c.Slots, c.Tokens, c.Memory, c.Prompt, c.Failing)})
+}
+
 func (s *Server) serve(ctx context.Context, req *Request, out Answer) *apierr.Error {
 	view := s.view()
 	if !view.Ready() {
@@ -225,15 +236,19 @@
 	defer cancel()
 	s.window(l.service.Name).Fresh(req.Arrived)
 	if l.route.Kind == table.KindStream {
-		return s.stream(ctx, l, out)
+		fail = s.stream(ctx, l, out)
+	} else {
+		fail = s.call(ctx, l, out)
 	}
-	return s.call(ctx, l, out)
+	s.counters.ended(l.route.Kind, fail, time.Since(req.Arrived))
+	return fail
 }
 
 // life is a request with what the table says of it.
 type life struct {
 	req       *Request
 	route     *table.Route
+	version   int64 // of the table that the route is from
 	service   *table.Service
 	workspace string
 	priority  int
@@ -250,7 +265,7 @@
 	if !ok {
 		return nil, apierr.NotRun(http.StatusNotFound, apierr.CodeNotFound, "no route for host %q and path %q", req.Host, req.Path)
 	}
-	l := &life{req: req, route: route, priority: route.Priority}
+	l := &life{req: req, route: route, version: t.Version(), priority: route.Priority}
 	if t.NeedsKey(route) {
 		w, ok := t.Identify(req.Key)
 		if !ok {
@@ -322,7 +337,13 @@
 // that all nodes share.
 func (s *Server) mayRepeat(l *life) bool {
 	nodes := member.Of(s.cfg.Daemon.State()).Len()
-	return s.window(l.service.Name).Allow(time.Now(), nodes)
+	if !s.window(l.service.Name).Allow(time.Now(), nodes) {
+		s.counters.denied.Inc()
+		s.record("repeat-denied", l.req, "", "the budget of repeated requests is spent")
+		return false
+	}
+	s.counters.repeats.Inc()
+	return true
 }
 
 // Returns a time between d and twice d, so that requests that were turned away
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -26,11 +26,13 @@
 	began    time.Time
 	first    time.Time // arrival of the first event
 	events   int
-	before   int          // events that the caller had before
-	expected int          // events of the whole run
-	moved    *destination // set when the run goes on elsewhere
-	planned  bool         // a goroutine looks after the run until it has left
-	movable  bool         // the run is to be copied to another engine
+	before   int           // events that the caller had before
+	expected int           // events of the whole run
+	moved    *destination  // set when the run goes on elsewhere
+	planned  bool          // a goroutine looks after the run until it has left
+	copies   time.Duration // until the first copies of all runs of the engine have passed its link
+	spread   float64       // in [0, 1): when the run goes among those of the engine
+	movable  bool          // the run is to be copied to another engine
 	ended    bool
 }
 
@@ -118,10 +120,12 @@
 	for i, r := range runs {
 		items[i] = r.item()
 	}
+	total := move.Total(items, elsewhere)
 	chosen := move.Plan(items, elsewhere, s.rand.Float64())
 	for i, r := range runs {
 		x := r.open
 		x.planned = true
+		x.copies, x.spread = total, s.rand.Float64()
 		x.movable = chosen[i] && r.life.service.Engine != nil && r.life.service.Engine.Moves
 		s.jobs.Go(func() { s.evacuate(r, x, heard) })
 	}
@@ -148,6 +152,7 @@
 		state.Failed = failed
 		switch a := move.Decide(state).(type) {
 		case move.Stay:
+			s.counters.evacuated("stayed")
 			s.record("stay", r.life.req, x.endpoint.ID, fmt.Sprintf("the engine is leaving; %d events came, %s are expected to the end", x.before+x.events, state.Remaining.Round(time.Millisecond)))
 			return
 		case move.Wait:
@@ -241,6 +246,7 @@
 		return false
 	}
 	x.moved = to
+	s.counters.evacuated("moved")
 	s.record("move", r.life.req, x.endpoint.ID, fmt.Sprintf("the engine is leaving after %d events; the run goes on at %s", x.before+x.events, to.endpoint.ID))
 	return true
 }
@@ -256,12 +262,13 @@
 	first, err := s.cfg.Dialect.Copy(ctx, x.endpoint.Addr, target.Addr, id, false)
 	if err != nil {
 		if r.ctx.Err() == nil {
+			s.counters.evacuated("copy-failed")
 			s.record("copy-failed", r.life.req, target.ID, err.Error())
 		}
 		return false
 	}
 	s.record("copied", r.life.req, target.ID, fmt.Sprintf("the first copy from %s to %s was complete %s after the notice", x.endpoint.Centre, target.Centre, time.Since(heard).Round(time.Millisecond)))
-	wait.For(ctx, move.Final(time.Since(heard)))
+	wait.For(ctx, move.Final(time.Since(heard), x.copies, x.spread))
 	to := &destination{endpoint: target, done: make(chan struct{})}
 	defer close(to.done)
 	// The engine ends the stream once the run has stopped.
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -146,12 +146,14 @@
 // Chooses an endpoint of the service, rather in a data centre, that is neither
 // leaving nor in avoid.
 func (s *Server) choose(svc *table.Service, centre string, need place.Need, avoid ...string) (fleet.Endpoint, bool) {
-	return s.chooseFitting(svc, centre, need, 0, avoid)
+	e, _, ok := s.chooseFitting(svc, centre, need, 0, avoid)
+	return e, ok
 }
 
 // Chooses like choose, but only an endpoint that has room for the request in a
-// share of its memory, if share is not zero.
-func (s *Server) chooseFitting(svc *table.Service, centre string, need place.Need, share float64, avoid []string) (fleet.Endpoint, bool) {
+// share of its memory, if share is not zero. The candidate is what the choice
+// went by.
+func (s *Server) chooseFitting(svc *table.Service, centre string, need place.Need, share float64, avoid []string) (fleet.Endpoint, place.Candidate, bool) {
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,9 +169,9 @@
 	}
 	i, ok := place.Choose(need, list, min(view.Peers(), rivals), s.rand)
 	if !ok {
-		return fleet.Endpoint{}, false
+		return fleet.Endpoint{}, place.Candidate{}, false
 	}
-	return fitting[i], true
+	return fitting[i], list[i], true
 }
 
 // Returns the endpoints that may be given work: those that accept connections,
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -72,6 +72,7 @@
 		}
 	}
 	if r.started {
+		s.counters.broken.Inc()
 		s.record("broken", l.req, r.endpoint.ID, errorText(r.cause))
 		out.Abort()
 		return nil
@@ -118,9 +119,12 @@
 	s, l := r.server, r.life
 	need := place.Need{Tokens: r.tokens}
 	share := l.room()
-	until := time.Now().Add(l.patience())
+	began := time.Now()
+	defer func() { s.counters.waited(l.route.Kind, time.Since(began)) }()
+	until := began.Add(l.patience())
 	for {
-		if e, ok := s.chooseFitting(l.service, s.cfg.Centre, need, share, l.tried); ok {
+		if e, c, ok := s.chooseFitting(l.service, s.cfg.Centre, need, share, l.tried); ok {
+			s.placed(l, c)
 			return e, true
 		}
 		if !time.Now().Before(until) || !wait.For(r.ctx, admitStep) {
--- a/move/move.go
+++ b/move/move.go
@@ -26,10 +26,12 @@
 	// copyBudget is the time within which the first copies of all generations on
 	// an engine must pass its link, so that the final ones still fit the notice.
 	copyBudget = 1150 * time.Millisecond
-	// finalAt is the time after the notice before which no generation is stopped
-	// for its final copy. Copies queue on the engine's link; by then the long
-	// first copies have passed, so that the short final ones do not wait behind
-	// them while their generations stand still.
+	// copySlack is added to the time in which all first copies should have passed.
+	copySlack = 50 * time.Millisecond
+	// finalAt is the time after the notice by which every generation whose first
+	// copy is complete is stopped for its final copy. Copies queue on the engine's
+	// link: final ones that begin before the long first ones have passed wait
+	// behind them while their generations stand still.
 	finalAt = 1200 * time.Millisecond
 	// backupAge is the age from which a backup holds the prompt: its copy of some
 	// thousand tokens queues on two links.
@@ -128,10 +130,28 @@
 	return chosen
 }
 
+// Total estimates when the first copies of all generations on an engine have
+// passed its link, from those of one node.
+func Total(own []Item, elsewhere int) time.Duration {
+	if len(own) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, i := range own {
+		sum += i.Copy
+	}
+	return min(sum*time.Duration(len(own)+elsewhere)/time.Duration(len(own)), copyBudget)
+}
+
 // Final returns how long to wait for the final copy of a generation whose
-// first copy is complete.
-func Final(heard time.Duration) time.Duration {
-	return max(0, finalAt-heard)
+// first copy is complete. The fraction in [0, 1) spreads the generations of
+// one engine over the time between the last of the first copies and the end
+// of the notice: those that join another engine together stand still while it
+// reads what is new of each.
+func Final(heard, total time.Duration, fraction float64) time.Duration {
+	begin := min(total+copySlack, finalAt)
+	at := begin + time.Duration(fraction*float64(finalAt-begin))
+	return max(0, at-heard)
 }
 
 // maxCopies bounds the engines that one generation is offered to.
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -98,7 +98,7 @@
 		return n
 	}
 	atOnce := func(done time.Duration) time.Duration { return done }
-	later := func(done time.Duration) time.Duration { return done + move.Final(done) }
+	later := func(done time.Duration) time.Duration { return done + move.Final(done, 5*copyTime, 0.5) }
 
 	t.Run("all copies at once", func(t *testing.T) {
 		// Eight generations whose copies all begin at the notice: none is saved.
@@ -131,6 +131,15 @@
 		qt.Assert(t, chosen[7], qt.IsTrue)
 		qt.Assert(t, chosen[0], qt.IsFalse)
 	})
+	t.Run("final copies are spread after the first ones", func(t *testing.T) {
+		total := move.Total(items(2), 1)
+		qt.Assert(t, total, qt.Equals, 3*copyTime)
+		first, last := move.Final(0, total, 0), move.Final(0, total, 0.999)
+		qt.Assert(t, first >= total, qt.IsTrue)
+		qt.Assert(t, last-first >= 500*ms, qt.IsTrue)
+		qt.Assert(t, last+final*3 < linkLife, qt.IsTrue)
+		qt.Assert(t, move.Final(2*time.Second, total, 0.5), qt.Equals, time.Duration(0))
+	})
 	t.Run("none", func(t *testing.T) {
 		qt.Assert(t, move.Plan(nil, 3, 0.5), qt.HasLen, 0)
 	})
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,101 @@
+package trace_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/trace"
+)
+
+// blocked is a reader of logs that has stopped.
+type blocked struct {
+	release chan struct{}
+}
+
+// Write implements io.Writer.
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// A stalled reader of the log holds up nobody, and what it misses is counted.
+func TestSinkNeverBlocks(t *testing.T) {
+	s := trace.NewSink()
+	w := blocked{make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := s.Run(ctx, w)
+	now := time.Now()
+	added := make(chan struct{})
+	go func() {
+		for i := range 100_000 {
+			s.Add(now.Add(time.Duration(i)*time.Millisecond), trace.Entry{Kind: "failed", Time: now})
+		}
+		close(added)
+	}()
+	select {
+	case <-added:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the sink blocks")
+	}
+	qt.Assert(t, s.Lost() > 50_000, qt.IsTrue)
+	close(w.release)
+	cancel()
+	qt.Assert(t, <-done, qt.IsNil)
+}
+
+// Under load routine lines are left out before failures.
+func TestSinkKeepsFailures(t *testing.T) {
+	s := trace.NewSink()
+	now := time.Now()
+	for range 2000 {
+		s.Add(now, trace.Entry{Kind: "ended", Time: now, Routine: true})
+	}
+	for range 400 {
+		s.Add(now, trace.Entry{Kind: "failed", Time: now})
+	}
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	qt.Assert(t, <-s.Run(ctx, &out), qt.IsNil)
+	qt.Assert(t, strings.Count(out.String(), `"failed"`), qt.Equals, 400)
+	qt.Assert(t, strings.Count(out.String(), `"ended"`) < 500, qt.IsTrue)
+}
+
+func entry(logical int64, process, kind, request, endpoint string) trace.Entry {
+	return trace.Entry{Logical: logical, Process: process, Kind: kind, Request: request, Endpoint: endpoint}
+}
+
+func TestExplain(t *testing.T) {
+	a := []trace.Entry{
+		entry(1, "a", "store-failed", "", ""),
+		entry(10, "a", "place", "r", "e1"),
+		entry(12, "a", "place", "other", "e1"),
+		entry(20, "a", "endpoint", "", "e1"),
+		entry(21, "a", "endpoint", "", "e9"),
+		entry(25, "a", "store-failed", "", ""),
+		entry(30, "a", "copy-failed", "r", "e2"),
+		entry(31, "a", "broken", "r", "e1"),
+		entry(32, "a", "ended", "r", ""),
+		entry(40, "a", "member", "", ""),
+	}
+	b := []trace.Entry{entry(15, "b", "endpoint", "", "e1")}
+	life := trace.Explain("r", a, b)
+	var kinds []string
+	for _, e := range life.Entries {
+		kinds = append(kinds, e.Kind)
+	}
+	qt.Assert(t, strings.Join(kinds, " "), qt.Equals, "place endpoint store-failed copy-failed broken ended")
+	qt.Assert(t, life.Settled.Kind, qt.Equals, "broken")
+	qt.Assert(t, trace.Explain("none", a, b).Entries, qt.HasLen, 0)
+}
+
+func TestReadLines(t *testing.T) {
+	list, err := trace.ReadLines(strings.NewReader("I0101 text {not json\n  1.5 node-a {\"kind\":\"place\",\"request\":\"r\",\"logical\":5}\n{\"other\":1}\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Request, qt.Equals, "r")
+}
