--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 	Centre  string
 	Seed    uint64
 	Budget  retry.Limit
+	TTL     time.Duration            // after which callers ask anew which nodes to use
 	Deaf    func(now time.Time) bool // reports whether news of endpoints does not come at present
 }
 
@@ -136,6 +137,7 @@
 	active   int
 	probed   time.Time // used by Run only
 	until    time.Time // answers must have ended; zero while not stopping
+	lastCall time.Time // until then a stopping node takes long requests that no other node can take
 }
 
 // New returns a server.
@@ -184,11 +186,24 @@
 }
 
 // Stop says that every answer must have ended at the given time. Requests that
-// are expected to last longer are refused from now on.
-func (s *Server) Stop(until time.Time) {
+// may last longer are refused from now on, if another node serves. While all
+// nodes stop at once, as in a quick replacement of one after the other, they
+// are taken for a little longer: many will be done in time.
+func (s *Server) Stop(now, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.until = until
+	s.until, s.lastCall = until, now.Add(lastCallTime)
+}
+
+// Reports whether another node serves callers.
+func (s *Server) others() bool {
+	m := member.Of(s.cfg.Daemon.State())
+	for _, p := range m.Serving() {
+		if p.GetId() != m.Self().GetId() {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Server) view() *fleet.View {
@@ -278,7 +293,7 @@
 	}
 	s.mu.Lock()
 	point := s.rand.Float64()
-	until := s.until
+	until, lastCall := s.until, s.lastCall
 	s.mu.Unlock()
 	l.service, ok = t.Service(route.Service(point))
 	if !ok {
@@ -292,26 +307,28 @@
 		wait = defaultWait
 	}
 	l.deadline = req.Arrived.Add(wait)
-	if !until.IsZero() && req.Arrived.Add(l.expected()).After(until) {
-		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node is stopping").WithRetry(time.Millisecond)
+	if !until.IsZero() && req.Arrived.Add(l.longest()).After(until) && (s.others() || req.Arrived.After(lastCall)) {
+		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node is stopping").WithRetry(s.cfg.TTL)
 	}
 	return l, nil
 }
 
 const (
-	defaultWait  = 60 * time.Second       // of a caller and a route that name no limit
-	tokenTime    = 10 * time.Millisecond  // of a token on an engine with a usual batch
-	prefillTime  = 300 * time.Millisecond // before the first token
-	plainTime    = 500 * time.Millisecond // of a plain service's slower answers
+	defaultWait  = 60 * time.Second      // of a caller and a route that name no limit
+	tokenTime    = 10 * time.Millisecond // of a token on an engine with a usual batch
+	prefillTime  = time.Second           // before the first token
+	plainTime    = time.Second           // of a plain service's slower answers
 	timeoutRetry = 500 * time.Millisecond
+	lastCallTime = 2500 * time.Millisecond // a caller that came within 3 s of the stop knows of no other node
 )
 
-// Returns how long the answer is expected to take.
-func (l *life) expected() time.Duration {
+// Returns how long the answer may take. Expected lengths are not good enough
+// here: what is taken while the node stops must end before it does.
+func (l *life) longest() time.Duration {
 	if l.route.Kind != table.KindStream {
 		return plainTime
 	}
-	return prefillTime + time.Duration(l.output())*tokenTime
+	return prefillTime + time.Duration(l.req.Output)*tokenTime
 }
 
 // Returns the expected number of output tokens.
--- a/place/place.go
+++ b/place/place.go
@@ -14,7 +14,7 @@
 
 const (
 	farPenalty   = 0.02 // of an endpoint in another data centre
-	stalePenalty = 1.0  // of one whose load is known only late
+	stalePenalty = 3.0  // of one whose load is known only late
 	failPenalty  = 1.5  // of an endpoint all of whose recent requests failed
 	queuePenalty = 2.0  // of each slot's worth of requests that would wait
 	tokenWeight  = 1.0  // of KV-cache memory against slots
@@ -24,8 +24,8 @@
 // Shares of an engine's memory that are given out by expected lengths. What is
 // left absorbs answers that become longer than expected.
 const (
-	RoomNew      = 0.85 // to generations that can come back later
-	RoomReturned = 0.95 // to those that have been turned away before
+	RoomNew      = 0.95 // to generations that can come back later
+	RoomReturned = 1.05 // to those that have been turned away before
 	RoomUrgent   = 1.0  // to the most urgent, which are short
 )
 
