--- a/store/store.go
+++ b/store/store.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
 // Entry is a key with its value.
@@ -16,6 +17,7 @@
 	Key      string
 	Value    []byte
 	Revision int64 // store revision of the last change
+	Deleted  bool  // the key is gone; only from a Watcher
 }
 
 // Range is the result of a reading.
@@ -54,6 +56,29 @@
 	KeepLease(ctx context.Context, lease int64) (bool, error)
 }
 
+// Watcher is a key-value service that tells of changes.
+type Watcher interface {
+	Store
+	// Watch returns the changes of keys with a prefix after a store revision as
+	// soon as there is one, or none after a wait. The next Watch goes on from
+	// the revision of the result. A *HistoryError means that the changes are no
+	// longer kept, so that List must be called.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Range, error)
+	// EndLease ends a lease, and removes the keys that depend on it.
+	EndLease(ctx context.Context, lease int64) error
+}
+
+// HistoryError says that the service no longer keeps the changes after a
+// revision.
+type HistoryError struct {
+	After int64
+}
+
+// Error names the revision.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("store: the changes after revision %d are no longer kept", e.After)
+}
+
 // UnavailableError says that a call had no effect because the service could
 // not be reached or refused it.
 type UnavailableError struct {
