--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,6 +195,19 @@
 	s.until, s.lastCall = until, now.Add(lastCallTime)
 }
 
+// CutOff records the generations that are still running when the node ends.
+func (s *Server) CutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.runs {
+		on := ""
+		if r.open != nil {
+			on = r.open.endpoint.ID
+		}
+		s.record("broken", r.life.req, on, fmt.Sprintf("the node stopped %s after the request came", time.Since(r.life.req.Arrived).Round(time.Millisecond)))
+	}
+}
+
 // Reports whether another node serves callers.
 func (s *Server) others() bool {
 	m := member.Of(s.cfg.Daemon.State())
