--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -151,17 +151,11 @@
 	if !v.listed || now.Sub(v.news) >= newsLife {
 		return true
 	}
-	var here []string
-	for _, id := range m.Owners() {
-		if p, ok := m.Get(id); ok && p.Member.GetCentre() == m.Self().GetCentre() {
-			here = append(here, id)
-		}
-	}
 	n := readers
 	if !Meshed(s) {
 		n = 1
 	}
-	return owner.Among("store", m.Self().GetId(), n, here)
+	return owner.Among("store", m.Self().GetId(), n, m.OwnersHere())
 }
 
 // Revision returns the highest store revision of any known item.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -211,7 +211,7 @@
 	}
 	if now.Sub(v.contact) < contactPause && now.Sub(v.toldAt) >= contactPause {
 		next.toldAt = now
-		effects = append(effects, toOthers(m, &wire.Usage{Changes: true, Contact: v.sinceContact(now)})...)
+		effects = append(effects, sendUsage(m, m.Owners(), &wire.Usage{Changes: true, Contact: v.sinceContact(now)})...)
 	}
 	period := usageStep * time.Duration(m.Len())
 	if now.Sub(v.ownAt) >= period {
@@ -260,17 +260,12 @@
 	if len(changes) == 0 {
 		return &next, nil
 	}
-	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: &wire.Usage{Changes: true, Uses: changes}}}
-	var effects []kernel.Effect
 	m := member.Of(s)
-	all := Meshed(s)
-	for _, id := range m.Owners() {
-		p, ok := m.Get(id)
-		if ok && id != m.Self().GetId() && (all || p.Member.GetCentre() == m.Self().GetCentre()) {
-			effects = append(effects, kernel.Send{To: id, Frame: frame})
-		}
+	near := m.OwnersHere()
+	if Meshed(s) {
+		near = m.Owners()
 	}
-	return &next, effects
+	return &next, sendUsage(m, near, &wire.Usage{Changes: true, Uses: changes})
 }
 
 func usesOf(list []*wire.Use) map[string]Use {
@@ -295,7 +290,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.own)) {
 		u.Uses = append(u.Uses, wireUse(id, v.own[id]))
 	}
-	return toOthers(m, u)
+	return sendUsage(m, m.Owners(), u)
 }
 
 // Returns the time since the store answered this node, in the form of a Usage.
@@ -306,11 +301,11 @@
 	return uint32(now.Sub(v.contact).Milliseconds()) + 1
 }
 
-// Sends a Usage to every other node.
-func toOthers(m *member.View, u *wire.Usage) []kernel.Effect {
+// Sends a Usage to those of the nodes that are not this one.
+func sendUsage(m *member.View, nodes []string, u *wire.Usage) []kernel.Effect {
 	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}
 	var effects []kernel.Effect
-	for _, id := range m.Owners() {
+	for _, id := range nodes {
 		if id != m.Self().GetId() {
 			effects = append(effects, kernel.Send{To: id, Frame: frame})
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -122,6 +122,17 @@
 	return v.owners
 }
 
+// OwnersHere returns the sorted ids of the owners in this node's data centre.
+func (v *View) OwnersHere() []string {
+	var here []string
+	for _, id := range v.owners {
+		if p, ok := v.peers[id]; ok && p.Member.GetCentre() == v.self.GetCentre() {
+			here = append(here, id)
+		}
+	}
+	return here
+}
+
 // Get returns what is known of a member.
 func (v *View) Get(id string) (Peer, bool) {
 	p, ok := v.peers[id]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -220,13 +220,7 @@
 // Reader reports whether this node is one of those that read the key-value
 // service for its data centre.
 func Reader(v *member.View) bool {
-	var here []string
-	for _, id := range v.Owners() {
-		if p, ok := v.Get(id); ok && p.Member.GetCentre() == v.Self().GetCentre() {
-			here = append(here, id)
-		}
-	}
-	return owner.Among("documents", v.Self().GetId(), readers, here)
+	return owner.Among("documents", v.Self().GetId(), readers, v.OwnersHere())
 }
 
 func (s *Set) stored(e kernel.StoreRead) *Set {
