--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 	Centre  string
 	Seed    uint64
 	Budget  retry.Limit
+	Backup  float64                  // share of an engine's memory up to which it keeps copies of other engines' runs; 0 for none
 	TTL     time.Duration            // after which callers ask anew which nodes to use
 	Deaf    func(now time.Time) bool // reports whether news of endpoints does not come at present
 }
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -144,15 +144,8 @@
 }
 
 // Chooses an endpoint of the service, rather in a data centre, that is neither
-// leaving nor in avoid.
-func (s *Server) choose(svc *table.Service, centre string, need place.Need, avoid ...string) (fleet.Endpoint, bool) {
-	e, _, ok := s.chooseFitting(svc, centre, need, 0, avoid)
-	return e, ok
-}
-
-// Chooses like choose, but only an endpoint that has room for the request in a
-// share of its memory, if share is not zero. The candidate is what the choice
-// went by.
+// leaving nor in avoid and, if share is not zero, has room for the request in
+// that share of its memory. The candidate is what the choice went by.
 func (s *Server) chooseFitting(svc *table.Service, centre string, need place.Need, share float64, avoid []string) (fleet.Endpoint, place.Candidate, bool) {
 	view := s.view()
 	s.mu.Lock()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -12,16 +12,11 @@
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/relay"
-	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 const (
 	engineConnect = 300 * time.Millisecond // an engine that is cut off is left after this time
 	maxContinue   = 12                     // continuations of one stream
-	admitStep     = 30 * time.Millisecond  // between two looks for an engine with room
-	patienceShare = 8                      // part of the latency objective that a new request waits for room
-	leastPatience = 100 * time.Millisecond // where the route states no objective
-	returnSlack   = 200 * time.Millisecond // of a caller's clock and way
 	longPause     = 150 * time.Millisecond // between two events, that is worth a log line
 	backupOutput  = 200                    // output tokens from which a resumable generation is worth a backup
 )
@@ -42,7 +37,6 @@
 	tokens   int            // memory that the run is expected to need
 	started  bool           // the caller has a header
 	header   http.Header    // of the first endpoint's answer
-	length   int64
 	attempts int
 	refusals int
 	cause    error
@@ -114,53 +108,6 @@
 	return ok
 }
 
-// Waits a little for an engine with room for the run.
-func (r *run) admit() (fleet.Endpoint, bool) {
-	s, l := r.server, r.life
-	need := place.Need{Tokens: r.tokens}
-	share := l.room()
-	began := time.Now()
-	defer func() { s.counters.waited(l.route.Kind, time.Since(began)) }()
-	until := began.Add(l.patience())
-	for {
-		if e, c, ok := s.chooseFitting(l.service, s.cfg.Centre, need, share, l.tried); ok {
-			s.placed(l, c)
-			return e, true
-		}
-		if !time.Now().Before(until) || !wait.For(r.ctx, admitStep) {
-			r.cause = errors.New("no engine has room")
-			return fleet.Endpoint{}, false
-		}
-	}
-}
-
-// Returns the share of an engine's memory that the request may use. One that
-// has less time left than its route gives has been turned away before.
-func (l *life) room() float64 {
-	switch {
-	case l.service.Engine == nil:
-		return 0
-	case l.priority == 0:
-		return place.RoomUrgent
-	case l.returned():
-		return place.RoomReturned
-	}
-	return place.RoomNew
-}
-
-func (l *life) returned() bool {
-	return l.req.Wait > 0 && l.req.Wait < l.route.Timeout-returnSlack
-}
-
-// Returns how long a request waits for room before it is turned away. One that
-// comes back has nothing to gain from coming back again.
-func (l *life) patience() time.Duration {
-	if l.returned() {
-		return max(l.route.Objective, leastPatience)
-	}
-	return max(l.route.Objective/patienceShare, leastPatience)
-}
-
 // Makes one attempt. It reports true when the caller has its final answer or
 // has gone.
 func (r *run) try() bool {
@@ -192,7 +139,6 @@
 	l.sent = true
 	if r.header == nil {
 		r.header = s.cfg.Dialect.Answer(ex.Header)
-		r.length = ex.Length
 	}
 	if ex.Status != http.StatusOK {
 		return r.pass(ex)
@@ -245,14 +191,16 @@
 	return errors.Is(r.ctx.Err(), context.Canceled)
 }
 
-// Chooses the engine that keeps a copy of the run.
+// Chooses the engine that keeps a copy of the run, if one has so much memory
+// free that copies may use it.
 func (r *run) chooseBackup() {
 	r.backup = fleet.Endpoint{}
-	svc := r.life.service
-	if svc.Engine == nil || !svc.Engine.Backups || true || r.life.route.Resumable && r.life.output() < backupOutput {
+	svc, share := r.life.service, r.server.cfg.Backup
+	if share == 0 || svc.Engine == nil || !svc.Engine.Backups || r.life.route.Resumable && r.life.output() < backupOutput {
 		return
 	}
-	if e, ok := r.server.choose(svc, r.endpoint.Centre, place.Need{Tokens: r.tokens}, r.endpoint.ID); ok {
+	need := place.Need{Tokens: r.tokens}
+	if e, _, ok := r.server.chooseFitting(svc, r.endpoint.Centre, need, share, []string{r.endpoint.ID}); ok {
 		r.backup = e
 	}
 }
