Close a node while a session comes without a race

Test: peer TestCloseWhileSessionsCome fails each time before, passes after. The same order in entry: no job is begun once the server waits for them.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,6 +135,7 @@
 	retry    map[string]*retry.Window // by service
 	runs     map[*run]bool
 	jobs     sync.WaitGroup
+	closed   bool // no more jobs are begun
 	active   int
 	probed   time.Time // used by Run only
 	until    time.Time // answers must have ended; zero while not stopping
@@ -173,6 +174,9 @@
 				}
 			}
 		}
+		s.mu.Lock()
+		s.closed = true
+		s.mu.Unlock()
 		s.jobs.Wait()
 		done <- nil
 	}()
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -115,6 +115,9 @@
 
 // Starts to move runs off their engine. The mutex is held.
 func (s *Server) leave(runs []*run, elsewhere int) {
+	if s.closed {
+		return
+	}
 	heard := time.Now()
 	items := make([]move.Item, len(runs))
 	for i, r := range runs {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -126,8 +126,13 @@
 // on the channel that it returns.
 func (n *Net) Run() <-chan error {
 	done := make(chan error, 1)
+	// Counted as work itself, so that a session that is accepted while Close waits
+	// never is the first work.
+	n.work.Add(1)
 	go func() {
-		done <- n.acceptAll()
+		err := n.acceptAll()
+		n.work.Done()
+		done <- err
 	}()
 	return done
 }
@@ -145,7 +150,6 @@
 }
 
 func (n *Net) acceptAll() error {
-	defer n.work.Wait()
 	for {
 		conn, err := n.listener.Accept()
 		if err != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -125,3 +126,26 @@
 		}
 	})
 }
+
+// A session that comes while a node closes is no race.
+func TestCloseWhileSessionsCome(t *testing.T) {
+	for range 200 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		id := ln.Addr().String()
+		qt.Assert(t, ln.Close(), qt.IsNil)
+		n, err := Listen(context.Background(), Config{Self: &wire.Member{Id: id}, Deliver: func(string, *wire.Frame) {}, Lost: func(string) {}})
+		qt.Assert(t, err, qt.IsNil)
+		done := n.Run()
+		var dialled sync.WaitGroup
+		dialled.Go(func() {
+			if c, err := net.Dial("tcp", id); err == nil {
+				_ = c.Close()
+			}
+		})
+		// The session is on its way when the node closes.
+		dialled.Wait()
+		n.Close()
+		qt.Assert(t, <-done, qt.IsNil)
+	}
+}
