--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,7 +19,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +36,7 @@
 
 const (
 	unreadyRetry = 300 * time.Millisecond // a node that knows no table yet expects one within this time
+	timeoutRetry = 500 * time.Millisecond // after a request that nobody took in time
 	fullRetry    = 400 * time.Millisecond // for a place to become free
 	reportPeriod = 20 * time.Millisecond  // between two reports of what runs to the kernel
 )
@@ -155,7 +155,8 @@
 	return s
 }
 
-// Run reports what runs on endpoints to the kernel until ctx ends.
+// Run tells the kernel what runs on endpoints, and asks engines whether they
+// are leaving, until ctx ends.
 func (s *Server) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
@@ -190,40 +191,6 @@
 	return s.active
 }
 
-// Stop says that every answer must have ended at the given time. Requests that
-// may last longer are refused from now on, if another node serves. While all
-// nodes stop at once, as in a quick replacement of one after the other, they
-// are taken for a little longer: many will be done in time.
-func (s *Server) Stop(now, until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.until, s.lastCall = until, now.Add(lastCallTime)
-}
-
-// CutOff records the generations that are still running when the node ends.
-func (s *Server) CutOff() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for r := range s.runs {
-		on := ""
-		if r.open != nil {
-			on = r.open.endpoint.ID
-		}
-		s.record("broken", r.life.req, on, fmt.Sprintf("the node stopped %s after the request came", time.Since(r.life.req.Arrived).Round(time.Millisecond)))
-	}
-}
-
-// Reports whether another node serves callers.
-func (s *Server) others() bool {
-	m := member.Of(s.cfg.Daemon.State())
-	for _, p := range m.Serving() {
-		if p.GetId() != m.Self().GetId() {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Server) view() *fleet.View {
 	return fleet.Of(s.cfg.Daemon.State())
 }
@@ -277,86 +244,6 @@
 	return fail
 }
 
-// life is a request with what the table says of it.
-type life struct {
-	req       *Request
-	route     *table.Route
-	version   int64 // of the table that the route is from
-	service   *table.Service
-	workspace string
-	priority  int
-	deadline  time.Time
-	sent      bool // an endpoint was handed the request and has not said that it did not run it
-	tried     []string
-}
-
-// Finds the route and the holder of the key.
-func (s *Server) admit(view *fleet.View, req *Request) (*life, *apierr.Error) {
-	t := view.Table()
-	host, _, _ := strings.Cut(req.Host, ":")
-	route, ok := t.Match(host, req.Path)
-	if !ok {
-		return nil, apierr.NotRun(http.StatusNotFound, apierr.CodeNotFound, "no route for host %q and path %q", req.Host, req.Path)
-	}
-	l := &life{req: req, route: route, version: t.Version(), priority: route.Priority}
-	if t.NeedsKey(route) {
-		w, ok := t.Identify(req.Key)
-		if !ok {
-			return nil, apierr.NotRun(http.StatusUnauthorized, apierr.CodeUnauthorized, "the key belongs to no workspace")
-		}
-		l.workspace = w.Name
-		if w.Ranked {
-			l.priority = w.Priority
-		}
-	}
-	s.mu.Lock()
-	point := s.rand.Float64()
-	until, lastCall := s.until, s.lastCall
-	s.mu.Unlock()
-	l.service, ok = t.Service(route.Service(point))
-	if !ok {
-		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeNoService, "route %q names no known service", route.Name).WithRetry(fullRetry)
-	}
-	wait := req.Wait
-	if route.Timeout > 0 && (wait == 0 || route.Timeout < wait) {
-		wait = route.Timeout
-	}
-	if wait == 0 {
-		wait = defaultWait
-	}
-	l.deadline = req.Arrived.Add(wait)
-	if !until.IsZero() && req.Arrived.Add(l.longest()).After(until) && (s.others() || req.Arrived.After(lastCall)) {
-		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node is stopping").WithRetry(s.cfg.TTL)
-	}
-	return l, nil
-}
-
-const (
-	defaultWait  = 60 * time.Second      // of a caller and a route that name no limit
-	tokenTime    = 10 * time.Millisecond // of a token on an engine with a usual batch
-	prefillTime  = time.Second           // before the first token
-	plainTime    = time.Second           // of a plain service's slower answers
-	timeoutRetry = 500 * time.Millisecond
-	lastCallTime = 2500 * time.Millisecond // a caller that came within 3 s of the stop knows of no other node
-)
-
-// Returns how long the answer may take. Expected lengths are not good enough
-// here: what is taken while the node stops must end before it does.
-func (l *life) longest() time.Duration {
-	if l.route.Kind != table.KindStream {
-		return plainTime
-	}
-	return prefillTime + time.Duration(l.req.Output)*tokenTime
-}
-
-// Returns the expected number of output tokens.
-func (l *life) output() int {
-	if l.req.Hint > 0 && (l.req.Output == 0 || l.req.Hint < l.req.Output) {
-		return l.req.Hint
-	}
-	return l.req.Output
-}
-
 func (s *Server) window(service string) *retry.Window {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -156,7 +156,7 @@
 		switch a := move.Decide(state).(type) {
 		case move.Stay:
 			s.counters.evacuated("stayed")
-			s.record("stay", r.life.req, x.endpoint.ID, fmt.Sprintf("the engine is leaving; %d events came, %s are expected to the end", x.before+x.events, state.Remaining.Round(time.Millisecond)))
+			s.record("stay", r.life.req, x.endpoint.ID, fmt.Sprintf("the engine is leaving; %d events came from it, %s are expected to the end", state.Events, state.Remaining.Round(time.Millisecond)))
 			return
 		case move.Wait:
 			if !wait.For(r.ctx, a.For) {
--- /dev/null
+++ b/fleet/usage.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+// Takes in what this node runs, and tells the close nodes what has changed.
+// Load pattern: requests that arrive at several nodes within milliseconds must
+// not all be given to the engine that was the emptiest a second ago.
+func (v *View) used(s kernel.State, uses []*wire.Use) (*View, []kernel.Effect) {
+	next := *v
+	next.own = usesOf(uses)
+	var changes []*wire.Use
+	for id, u := range next.own {
+		if v.own[id] != u {
+			changes = append(changes, wireUse(id, u))
+		}
+	}
+	for id := range v.own {
+		if _, still := next.own[id]; !still {
+			changes = append(changes, wireUse(id, Use{}))
+		}
+	}
+	if len(changes) == 0 {
+		return &next, nil
+	}
+	m := member.Of(s)
+	near := m.OwnersHere()
+	if Meshed(s) {
+		near = m.Owners()
+	}
+	return &next, sendUsage(m, near, &wire.Usage{Changes: true, Uses: changes})
+}
+
+func usesOf(list []*wire.Use) map[string]Use {
+	uses := make(map[string]Use, len(list))
+	for _, u := range list {
+		uses[u.GetEndpoint()] = useOf(u)
+	}
+	return uses
+}
+
+func useOf(u *wire.Use) Use {
+	return Use{Requests: int(u.GetRequests()), Tokens: int(u.GetTokens()), Prompt: int(u.GetPrompt())}
+}
+
+func wireUse(id string, u Use) *wire.Use {
+	return &wire.Use{Endpoint: id, Requests: uint32(u.Requests), Tokens: uint32(u.Tokens), Prompt: uint32(u.Prompt)}
+}
+
+// Tells the other nodes what this one runs.
+func (v *View) tell(now time.Time, m *member.View) []kernel.Effect {
+	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: v.sinceContact(now)}
+	for _, id := range slices.Sorted(maps.Keys(v.own)) {
+		u.Uses = append(u.Uses, wireUse(id, v.own[id]))
+	}
+	return sendUsage(m, m.Owners(), u)
+}
+
+// Returns the time since the store answered this node, in the form of a Usage.
+func (v *View) sinceContact(now time.Time) uint32 {
+	if v.contact.IsZero() {
+		return 0
+	}
+	return uint32(now.Sub(v.contact).Milliseconds()) + 1
+}
+
+// Sends a Usage to those of the nodes that are not this one.
+func sendUsage(m *member.View, nodes []string, u *wire.Usage) []kernel.Effect {
+	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}
+	var effects []kernel.Effect
+	for _, id := range nodes {
+		if id != m.Self().GetId() {
+			effects = append(effects, kernel.Send{To: id, Frame: frame})
+		}
+	}
+	return effects
+}
+
+// Takes in an endpoint's own word and passes it on at once.
+func (v *View) hear(now time.Time, m *member.View, id string) (*View, []kernel.Effect) {
+	next := *v
+	effects := next.believe([]string{id})
+	if len(effects) == 0 {
+		return v, nil
+	}
+	return &next, append(effects, next.tell(now, m)...)
+}
+
+// Marks endpoints as leaving. It returns no effect when all were known to be.
+func (v *View) believe(ids []string) []kernel.Effect {
+	var effects []kernel.Effect
+	for _, id := range ids {
+		e, listed := v.Endpoint(id)
+		if !listed || e.Leaving {
+			continue
+		}
+		if len(effects) == 0 {
+			v.heard = maps.Clone(v.heard)
+			if v.heard == nil {
+				v.heard = map[string]int64{}
+			}
+		}
+		v.heard[id] = v.records[endpointPrefix+id].item.GetRevision()
+		effects = append(effects,
+			kernel.Record{Kind: "endpoint", Endpoint: id, Detail: "leaving by its own word"},
+			kernel.Leave{Endpoint: id})
+	}
+	if len(effects) > 0 {
+		v.index()
+	}
+	return effects
+}
+
+// Takes in what another node runs.
+func (v *View) usage(now time.Time, from string, u *wire.Usage) *View {
+	next := *v
+	if u.GetContact() > 0 {
+		if at := now.Add(-time.Duration(u.GetContact()-1) * time.Millisecond); at.After(next.news) {
+			next.news = at
+		}
+	}
+	old, known := v.usages[from]
+	uses := usesOf(u.GetUses())
+	if u.GetChanges() {
+		if !known {
+			return &next // the whole Usage follows
+		}
+		uses = maps.Clone(old.uses)
+		for _, c := range u.GetUses() {
+			if use := useOf(c); use != (Use{}) {
+				uses[c.GetEndpoint()] = use
+			} else {
+				delete(uses, c.GetEndpoint())
+			}
+		}
+	}
+	next.usages = maps.Clone(v.usages)
+	if next.usages == nil {
+		next.usages = map[string]usage{}
+	}
+	next.usages[from] = usage{at: now, uses: uses}
+	next.elsewhere = maps.Clone(v.elsewhere)
+	if next.elsewhere == nil {
+		next.elsewhere = map[string]Use{}
+	}
+	next.count(old.uses, -1)
+	next.count(uses, 1)
+	return &next
+}
+
+// Adds what a node runs to the sums over all nodes, or takes it off.
+func (v *View) count(uses map[string]Use, sign int) {
+	for id, u := range uses {
+		s := v.elsewhere[id]
+		s.Requests += sign * u.Requests
+		s.Tokens += sign * u.Tokens
+		s.Prompt += sign * u.Prompt
+		if s == (Use{}) {
+			delete(v.elsewhere, id)
+		} else {
+			v.elsewhere[id] = s
+		}
+	}
+}
+
+// Forgets nodes that have not told their usage for long.
+func (v *View) forgetUsages(now time.Time, period time.Duration) {
+	changed := false
+	for id, u := range v.usages {
+		if now.Sub(u.at) < usageLife*period {
+			continue
+		}
+		if !changed {
+			v.usages = maps.Clone(v.usages)
+			v.elsewhere = maps.Clone(v.elsewhere)
+			changed = true
+		}
+		v.count(u.uses, -1)
+		delete(v.usages, id)
+	}
+}
