--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,33 +113,33 @@
 
 // Config describes a server.
 type Config struct {
-	Daemon  *daemon.Daemon
-	Relay   *relay.Client
-	Dialect Dialect
-	Centre  string
-	Seed    uint64
-	Budget  retry.Limit
-	Backup  float64                  // share of an engine's memory up to which it keeps copies of other engines' runs; 0 for none
-	TTL     time.Duration            // after which callers ask anew which nodes to use
-	Deaf    func(now time.Time) bool // reports whether news of endpoints does not come at present
+	Daemon       *daemon.Daemon
+	Relay        *relay.Client
+	Dialect      Dialect
+	Centre       string
+	Seed         uint64
+	Budget       retry.Limit
+	Backup       float64       // share of an engine's memory up to which it keeps copies of other engines' runs; 0 for none
+	TTL          time.Duration // after which callers ask anew which nodes to use
+	StoreFailing func() bool   // reports whether the store does not answer at present
 }
 
 // Server serves the requests of one node.
 type Server struct {
-	cfg      Config
-	mu       sync.Mutex
-	rand     *rand.Rand
-	ledger   *ledger
-	counters *counters
-	meshed   bool                     // all nodes tell each other their usage at once
-	retry    map[string]*retry.Window // by service
-	runs     map[*run]bool
-	jobs     sync.WaitGroup
-	closed   bool // no more jobs are begun
-	active   int
-	probed   time.Time // used by Run only
-	until    time.Time // answers must have ended; zero while not stopping
-	lastCall time.Time // until then a stopping node takes long requests that no other node can take
+	cfg       Config
+	mu        sync.Mutex
+	rand      *rand.Rand
+	ledger    *ledger
+	counters  *counters
+	meshed    bool                     // all nodes tell each other their usage at once
+	retry     map[string]*retry.Window // by service
+	runs      map[*run]bool
+	jobs      sync.WaitGroup
+	closed    bool // no more jobs are begun
+	active    int
+	probed    time.Time // used by Run only
+	until     time.Time // answers must have ended; zero while not stopping
+	lateUntil time.Time // until then a stopping node takes long requests that no other node can take
 }
 
 // New returns a server.
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	failLife   = 2 * time.Second        // time in which an outcome loses all but 1/e of its weight
-	shunFirst  = 500 * time.Millisecond // after a connection that was not accepted; doubles
-	shunMost   = 4 * time.Second
-	rivals     = 3           // nodes that choose within the time that news takes, at most
-	failPrior  = 1.0         // successes that an endpoint without a history is credited with
-	forgetIdle = time.Minute // an unused endpoint is dropped from the ledger
+	failLife     = 2 * time.Second        // time in which an outcome loses all but 1/e of its weight
+	backoffFirst = 500 * time.Millisecond // after a connection that was not accepted; doubles
+	backoffMost  = 4 * time.Second
+	rivals       = 3           // nodes that choose within the time that news takes, at most
+	failPrior    = 1.0         // successes that an endpoint without a history is credited with
+	forgetIdle   = time.Minute // an unused endpoint is dropped from the ledger
 )
 
 // ledger counts what this node runs on each endpoint and how that went.
@@ -34,7 +34,7 @@
 	bad     float64 // decayed count of failures
 	at      time.Time
 	refused int       // connections in a row that were not accepted
-	shunned time.Time // not chosen before, while there are others
+	backoff time.Time // not chosen before, while there are others
 }
 
 // use is what runs on an endpoint, or a change of it.
@@ -80,7 +80,7 @@
 	a.decay(now)
 	if ok {
 		a.good++
-		a.refused, a.shunned = 0, time.Time{}
+		a.refused, a.backoff = 0, time.Time{}
 	} else {
 		a.bad++
 	}
@@ -89,16 +89,16 @@
 // Notes that an endpoint did not accept a connection.
 func (l *ledger) unreachable(now time.Time, id string) {
 	a := l.get(id)
-	if now.Before(a.shunned) {
+	if now.Before(a.backoff) {
 		return // one of several at the same time
 	}
-	a.shunned = now.Add(min(shunFirst<<a.refused, shunMost))
+	a.backoff = now.Add(min(backoffFirst<<a.refused, backoffMost))
 	a.refused = min(a.refused+1, 8)
 }
 
-func (l *ledger) shuns(now time.Time, id string) bool {
+func (l *ledger) backsOff(now time.Time, id string) bool {
 	a, ok := l.entries[id]
-	return ok && now.Before(a.shunned)
+	return ok && now.Before(a.backoff)
 }
 
 // Returns the share of an endpoint's recent requests that failed.
@@ -170,18 +170,18 @@
 // Returns the endpoints that may be given work: those that accept connections,
 // or all that are listed if none is known to. The mutex is held.
 func (s *Server) usable(now time.Time, view *fleet.View, service string, avoid []string) []fleet.Endpoint {
-	var open, shunned []fleet.Endpoint
+	var open, resting []fleet.Endpoint
 	for _, e := range view.Endpoints(service) {
 		switch {
 		case e.Leaving || slices.Contains(avoid, e.ID):
-		case s.ledger.shuns(now, e.ID):
-			shunned = append(shunned, e)
+		case s.ledger.backsOff(now, e.ID):
+			resting = append(resting, e)
 		default:
 			open = append(open, e)
 		}
 	}
 	if len(open) == 0 {
-		return shunned
+		return resting
 	}
 	return open
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -51,7 +51,7 @@
 	}
 	s.mu.Lock()
 	point := s.rand.Float64()
-	until, lastCall := s.until, s.lastCall
+	until, lateUntil := s.until, s.lateUntil
 	s.mu.Unlock()
 	l.service, ok = t.Service(route.Service(point))
 	if !ok {
@@ -65,7 +65,7 @@
 		wait = defaultWait
 	}
 	l.deadline = req.Arrived.Add(wait)
-	if !until.IsZero() && req.Arrived.Add(l.longest()).After(until) && (s.others() || req.Arrived.After(lastCall)) {
+	if !until.IsZero() && req.Arrived.Add(l.longest()).After(until) && (s.others() || req.Arrived.After(lateUntil)) {
 		return nil, apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node is stopping").WithRetry(s.cfg.TTL)
 	}
 	return l, nil
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	probePeriod  = 600 * time.Millisecond // well within the shortest notice, 1.5 s
-	deafPeriod   = 300 * time.Millisecond // while the store is known not to tell
-	probeTimeout = 250 * time.Millisecond
-	deafProbers  = 2 // nodes that ask one engine while the store does not tell
+	probePeriod   = 600 * time.Millisecond // well within the shortest notice, 1.5 s
+	outagePeriod  = 300 * time.Millisecond // while the store is known not to tell
+	probeTimeout  = 250 * time.Millisecond
+	outageProbers = 2 // nodes that ask one engine while the store does not tell
 )
 
 // Asks the engines of this node's share whether they are leaving. Load pattern:
@@ -22,8 +22,8 @@
 // a node whose watch still waits there does not notice.
 func (s *Server) probe(ctx context.Context, now time.Time) {
 	period, probers := probePeriod, 1
-	if s.cfg.Deaf != nil && s.cfg.Deaf(now) {
-		period, probers = deafPeriod, deafProbers
+	if s.cfg.StoreFailing != nil && s.cfg.StoreFailing() {
+		period, probers = outagePeriod, outageProbers
 	}
 	if now.Sub(s.probed) < period {
 		return
@@ -36,7 +36,7 @@
 			defer cancel()
 			// An engine that does not answer is found out by its requests.
 			if leaving, err := s.cfg.Dialect.Leaving(ctx, e.Addr); err == nil && leaving {
-				s.cfg.Daemon.Post(ctx, kernel.Heard{Endpoint: e.ID})
+				s.cfg.Daemon.Post(ctx, kernel.LeaveReported{Endpoint: e.ID})
 			}
 		})
 	}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,9 +7,9 @@
 	"github.com/plantaindeck/plantaindeck/member"
 )
 
-// lastCallTime is the time after the start of a stop in which long requests are
+// lateAccept is the time after the start of a stop in which long requests are
 // taken that no other node can take.
-const lastCallTime = 2500 * time.Millisecond
+const lateAccept = 2500 * time.Millisecond
 
 // Stop says that every answer must have ended at the given time. Requests that
 // may last longer are refused from now on, if another node serves. While all
@@ -18,7 +18,7 @@
 func (s *Server) Stop(now, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.until, s.lastCall = until, now.Add(lastCallTime)
+	s.until, s.lateUntil = until, now.Add(lateAccept)
 }
 
 // CutOff records the generations that are still running when the node ends.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,7 +81,7 @@
 	ownAt     time.Time
 	usages    map[string]usage // by peer
 	elsewhere map[string]Use   // by endpoint, summed over the peers
-	heard     map[string]int64 // endpoints that said that they are leaving, with the revision of their records then
+	reported  map[string]int64 // endpoints that said that they are leaving, with the revision of their records then
 }
 
 // record is the last that is known of one item.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -143,7 +143,7 @@
 	n.Run(5 * time.Second)
 	n.Give(0, kernel.Learned{Items: []*wire.Item{endpointItem(t, "e", false, 6)}, Listed: true})
 	n.Run(2 * time.Second)
-	n.Give(2, kernel.Heard{Endpoint: "e"})
+	n.Give(2, kernel.LeaveReported{Endpoint: "e"})
 	ok := everywhere(n, 4, func(v *fleet.View) bool { return v.Endpoints("s")[0].Leaving })
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, left, qt.HasLen, 4)
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -22,8 +22,8 @@
 		next, effects := v.learn(now, member.Of(s), "", e.Items, e.Listed)
 		next.contact, next.news = now, now
 		return next, effects
-	case kernel.Heard:
-		return v.hear(now, member.Of(s), e.Endpoint)
+	case kernel.LeaveReported:
+		return v.leaveReported(now, member.Of(s), e.Endpoint)
 	case kernel.Used:
 		return v.used(s, e.Uses)
 	case kernel.Received:
@@ -41,7 +41,7 @@
 		return v, v.answer(e.From, body.Want)
 	case *wire.Frame_Usage:
 		next := v.usage(now, e.From, body.Usage)
-		effects := next.believe(body.Usage.GetLeaving())
+		effects := next.markLeaving(body.Usage.GetLeaving())
 		return next, effects
 	}
 	return v, nil
@@ -125,10 +125,10 @@
 			v.services[r.endpoint.Service] = append(v.services[r.endpoint.Service], v.current(r))
 		}
 	}
-	for id, revision := range v.heard {
+	for id, revision := range v.reported {
 		if v.records[endpointPrefix+id].item.GetRevision() != revision {
-			v.heard = maps.Clone(v.heard)
-			delete(v.heard, id)
+			v.reported = maps.Clone(v.reported)
+			delete(v.reported, id)
 		}
 	}
 	for _, list := range v.services {
@@ -144,7 +144,7 @@
 // Returns an endpoint as its record and its own word have it.
 func (v *View) current(r record) Endpoint {
 	e := r.endpoint
-	if revision, ok := v.heard[e.ID]; ok && revision == r.item.GetRevision() {
+	if revision, ok := v.reported[e.ID]; ok && revision == r.item.GetRevision() {
 		e.Leaving = true
 	}
 	return e
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -56,7 +56,7 @@
 
 // Tells the other nodes what this one runs.
 func (v *View) tell(now time.Time, m *member.View) []kernel.Effect {
-	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.heard)), Contact: v.sinceContact(now)}
+	u := &wire.Usage{Leaving: slices.Sorted(maps.Keys(v.reported)), Contact: v.sinceContact(now)}
 	for _, id := range slices.Sorted(maps.Keys(v.own)) {
 		u.Uses = append(u.Uses, wireUse(id, v.own[id]))
 	}
@@ -84,9 +84,9 @@
 }
 
 // Takes in an endpoint's own word and passes it on at once.
-func (v *View) hear(now time.Time, m *member.View, id string) (*View, []kernel.Effect) {
+func (v *View) leaveReported(now time.Time, m *member.View, id string) (*View, []kernel.Effect) {
 	next := *v
-	effects := next.believe([]string{id})
+	effects := next.markLeaving([]string{id})
 	if len(effects) == 0 {
 		return v, nil
 	}
@@ -94,7 +94,7 @@
 }
 
 // Marks endpoints as leaving. It returns no effect when all were known to be.
-func (v *View) believe(ids []string) []kernel.Effect {
+func (v *View) markLeaving(ids []string) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, id := range ids {
 		e, listed := v.Endpoint(id)
@@ -102,12 +102,12 @@
 			continue
 		}
 		if len(effects) == 0 {
-			v.heard = maps.Clone(v.heard)
-			if v.heard == nil {
-				v.heard = map[string]int64{}
+			v.reported = maps.Clone(v.reported)
+			if v.reported == nil {
+				v.reported = map[string]int64{}
 			}
 		}
-		v.heard[id] = v.records[endpointPrefix+id].item.GetRevision()
+		v.reported[id] = v.records[endpointPrefix+id].item.GetRevision()
 		effects = append(effects,
 			kernel.Record{Kind: "endpoint", Endpoint: id, Detail: "leaving by its own word"},
 			kernel.Leave{Endpoint: id})
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -122,26 +122,26 @@
 	Uses []*wire.Use
 }
 
-// Heard says that an endpoint told this node that it is leaving.
-type Heard struct {
+// LeaveReported says that an endpoint told this node that it is leaving.
+type LeaveReported struct {
 	Endpoint string
 }
 
 // Stopping says that this node has been asked to stop.
 type Stopping struct{}
 
-func (Tick) isEvent()         {}
-func (DocumentRead) isEvent() {}
-func (StoreRead) isEvent()    {}
-func (HostsListed) isEvent()  {}
-func (Received) isEvent()     {}
-func (PeerLost) isEvent()     {}
-func (Arrived) isEvent()      {}
-func (Abandoned) isEvent()    {}
-func (Moved) isEvent()        {}
-func (Ended) isEvent()        {}
-func (LoadRead) isEvent()     {}
-func (Learned) isEvent()      {}
-func (Used) isEvent()         {}
-func (Heard) isEvent()        {}
-func (Stopping) isEvent()     {}
+func (Tick) isEvent()          {}
+func (DocumentRead) isEvent()  {}
+func (StoreRead) isEvent()     {}
+func (HostsListed) isEvent()   {}
+func (Received) isEvent()      {}
+func (PeerLost) isEvent()      {}
+func (Arrived) isEvent()       {}
+func (Abandoned) isEvent()     {}
+func (Moved) isEvent()         {}
+func (Ended) isEvent()         {}
+func (LoadRead) isEvent()      {}
+func (Learned) isEvent()       {}
+func (Used) isEvent()          {}
+func (LeaveReported) isEvent() {}
+func (Stopping) isEvent()      {}
