--- a/entry/call.go
+++ b/entry/call.go
@@ -42,8 +42,8 @@
 		l.tried = append(l.tried, e.ID)
 		r, err := s.once(ctx, l, e)
 		if err == nil && (r.status < http.StatusInternalServerError || !l.route.Repeatable()) {
-			out.Start(r.status, r.header, int64(len(r.body)))
-			return s.deliver(out, r.body)
+			deliver(out, r)
+			return nil
 		}
 		cause = err
 		var refused *relay.RefusedError
@@ -66,17 +66,18 @@
 		s.record("retry", l.req, e.ID, "an idempotent call failed")
 	}
 	if last != nil {
-		out.Start(last.status, last.header, int64(len(last.body)))
-		return s.deliver(out, last.body)
+		deliver(out, last)
+		return nil
 	}
 	return s.giveUp(ctx, l, cause)
 }
 
-func (s *Server) deliver(out Answer, body []byte) *apierr.Error {
-	if err := out.Write(body); err != nil {
+// Gives the caller an endpoint's whole answer.
+func deliver(out Answer, r *reply) {
+	out.Start(r.status, r.header, int64(len(r.body)))
+	if err := out.Write(r.body); err != nil {
 		out.Abort()
 	}
-	return nil
 }
 
 // Sends a call to one endpoint.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -221,8 +221,7 @@
 		r.backup = fleet.Endpoint{}
 		return false
 	}
-	r.out.Start(ex.Status, s.cfg.Dialect.Answer(ex.Header), int64(len(body)))
-	s.deliver(r.out, body)
+	deliver(r.out, &reply{status: ex.Status, header: s.cfg.Dialect.Answer(ex.Header), body: body})
 	return true
 }
 
