--- a/entry/leave.go
+++ b/entry/leave.go
@@ -196,8 +196,7 @@
 		Backup:  listed && !backup.Leaving,
 		Movable: x.movable,
 	}
-	state.Expected = max(x.expected-x.before, 0)
-	state.Remaining = move.Remaining(x.events, state.Expected, now.Sub(x.first))
+	state.Remaining = move.Remaining(x.events, max(x.expected-x.before, 0), now.Sub(x.first))
 	return state, false
 }
 
--- a/move/move.go
+++ b/move/move.go
@@ -47,7 +47,6 @@
 type Run struct {
 	Age       time.Duration // since the engine was given it
 	Events    int           // that have arrived from this engine
-	Expected  int           // events that it will probably make there
 	Remaining time.Duration // expected until its end
 	Heard     time.Duration // since the engine was heard to be leaving
 	Backup    bool          // the engine that keeps a copy is listed and stays
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -17,7 +17,7 @@
 )
 
 func TestDecide(t *testing.T) {
-	run := move.Run{Age: 5 * time.Second, Events: 100, Expected: 235, Remaining: 4 * time.Second, Movable: true}
+	run := move.Run{Age: 5 * time.Second, Events: 100, Remaining: 4 * time.Second, Movable: true}
 	with := func(change func(r *move.Run)) move.Run {
 		r := run
 		change(&r)
@@ -48,7 +48,7 @@
 // may still have hundreds to make.
 func TestShortHintDoesNotStay(t *testing.T) {
 	left := move.Remaining(1, 1, 0)
-	qt.Assert(t, move.Decide(move.Run{Events: 1, Expected: 1, Remaining: left, Movable: true}), qt.Equals, move.Action(move.Copy{}))
+	qt.Assert(t, move.Decide(move.Run{Events: 1, Remaining: left, Movable: true}), qt.Equals, move.Action(move.Copy{}))
 }
 
 func TestRemaining(t *testing.T) {
