--- a/cmds/platform.go
+++ b/cmds/platform.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/platform"
 	"github.com/spf13/cobra"
 )
@@ -12,6 +13,13 @@
 		Long: "Run the daemon of an entry host on the users' platform until SIGTERM or SIGINT, which stop it gracefully.\n" +
 			"The settings come from the file that the platform writes.",
 		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return platform.Run() },
+		RunE: func(*cobra.Command, []string) error {
+			err := platform.Run()
+			var bad *platform.SettingsError
+			if errors.As(err, &bad) {
+				return &usageError{err}
+			}
+			return err
+		},
 	}
 }
