--- a/entry/call.go
+++ b/entry/call.go
@@ -85,18 +85,12 @@
 	s.take(e.ID, use{requests: 1})
 	defer s.take(e.ID, use{requests: -1})
 	a := s.attempt(l, e)
-	raw := s.cfg.Dialect.Encode(a)
-	raw.Connect = plainConnect
-	ex, err := s.cfg.Relay.Exchange(ctx, raw)
+	ex, err := s.send(ctx, a, plainConnect)
 	if err != nil {
 		s.failed(ctx, e, err)
 		return nil, err
 	}
 	defer ex.Close()
-	if err := s.check(a, ex); err != nil {
-		s.failed(ctx, e, err)
-		return nil, err
-	}
 	body, err := io.ReadAll(io.LimitReader(ex, maxPlain+1))
 	if err == nil && len(body) > maxPlain {
 		err = errors.Errorf("answer has more than %d bytes", maxPlain)
@@ -137,6 +131,22 @@
 	}
 }
 
+// Sends an attempt and returns the endpoint's answer, unless that says that the
+// endpoint does not run the request or belongs to another one.
+func (s *Server) send(ctx context.Context, a Attempt, connect time.Duration) (*relay.Reply, error) {
+	raw := s.cfg.Dialect.Encode(a)
+	raw.Connect = connect
+	ex, err := s.cfg.Relay.Exchange(ctx, raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.check(a, ex); err != nil {
+		ex.Close()
+		return nil, err
+	}
+	return ex, nil
+}
+
 // Reports an error unless the answer is the endpoint's word on this request.
 func (s *Server) check(a Attempt, ex *relay.Reply) error {
 	v := s.cfg.Dialect.Verdict(a, ex.Status, ex.Header)
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -208,13 +208,10 @@
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	var near, far []fleet.Endpoint
-	for _, e := range s.usable(now, view, r.life.service.Name, append(avoid, x.endpoint.ID)) {
-		if !place.Fits(place.Need{Tokens: r.tokens}, s.candidate(now, view, r.life.service, e, x.endpoint.Centre), place.RoomReturned) {
-			continue
-		}
-		if e.Centre == x.endpoint.Centre {
+	endpoints, list := s.fitting(time.Now(), view, r.life.service, x.endpoint.Centre, place.Need{Tokens: r.tokens}, place.RoomReturned, append(avoid, x.endpoint.ID))
+	for i, e := range endpoints {
+		if list[i].Near {
 			near = append(near, e)
 		} else {
 			far = append(far, e)
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -150,21 +150,28 @@
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	var fitting []fleet.Endpoint
+	fitting, list := s.fitting(time.Now(), view, svc, centre, need, share, avoid)
+	i, ok := place.Choose(need, list, min(view.Peers(), rivals), s.rand)
+	if !ok {
+		return fleet.Endpoint{}, place.Candidate{}, false
+	}
+	return fitting[i], list[i], true
+}
+
+// Returns the usable endpoints that have room for a request in a share of their
+// memory, or all of them if share is zero, with what is known of each. The
+// mutex is held.
+func (s *Server) fitting(now time.Time, view *fleet.View, svc *table.Service, centre string, need place.Need, share float64, avoid []string) ([]fleet.Endpoint, []place.Candidate) {
+	var endpoints []fleet.Endpoint
 	var list []place.Candidate
 	for _, e := range s.usable(now, view, svc.Name, avoid) {
 		c := s.candidate(now, view, svc, e, centre)
 		if share == 0 || place.Fits(need, c, share) {
-			fitting = append(fitting, e)
+			endpoints = append(endpoints, e)
 			list = append(list, c)
 		}
 	}
-	i, ok := place.Choose(need, list, min(view.Peers(), rivals), s.rand)
-	if !ok {
-		return fleet.Endpoint{}, place.Candidate{}, false
-	}
-	return fitting[i], list[i], true
+	return endpoints, list
 }
 
 // Returns the endpoints that may be given work: those that accept connections,
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -125,16 +125,11 @@
 	a.Last = r.last
 	a.From = r.from
 	a.Backup = r.backup.Addr
-	raw := s.cfg.Dialect.Encode(a)
-	raw.Connect = engineConnect
-	ex, err := s.cfg.Relay.Exchange(r.ctx, raw)
+	ex, err := s.send(r.ctx, a, engineConnect)
 	if err != nil {
 		return r.failed(err)
 	}
 	defer ex.Close()
-	if err := s.check(a, ex); err != nil {
-		return r.failed(err)
-	}
 	r.attempts++
 	l.sent = true
 	if r.header == nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -143,13 +143,7 @@
 		return 0, err
 	}
 	clear(f.nodes)
-	there := map[string]bool{}
-	for _, e := range r.Entries {
-		if c, ok := f.cfg.Decode(e).(Endpoint); ok {
-			there[c.ID] = true
-		}
-	}
-	f.take(ctx, r.Entries, true)
+	there := f.take(ctx, r.Entries, true)
 	f.announce(ctx)
 	var gone kernel.Learned
 	for _, id := range fleet.Of(f.cfg.Daemon.State()).Names() {
@@ -172,8 +166,10 @@
 	return max(at, r.Revision), nil
 }
 
-// Gives changes to the kernel.
-func (f *Feed) take(ctx context.Context, entries []store.Entry, listed bool) {
+// Gives changes to the kernel. It returns the endpoints that have a record
+// among them.
+func (f *Feed) take(ctx context.Context, entries []store.Entry, listed bool) map[string]bool {
+	there := map[string]bool{}
 	learned := kernel.Learned{Listed: listed}
 	hosts := false
 	for _, e := range entries {
@@ -182,7 +178,11 @@
 			hosts = true
 			continue
 		}
-		if item := f.item(e); item != nil {
+		change := f.cfg.Decode(e)
+		if c, ok := change.(Endpoint); ok {
+			there[c.ID] = true
+		}
+		if item := f.item(e, change); item != nil {
 			learned.Items = append(learned.Items, item)
 		}
 	}
@@ -190,13 +190,14 @@
 	if hosts {
 		f.announce(ctx)
 	}
+	return there
 }
 
-// Returns what an entry means in the form that nodes tell each other, or nil.
-func (f *Feed) item(e store.Entry) *wire.Item {
+// Returns what an entry's change means in the form that nodes tell each other, or nil.
+func (f *Feed) item(e store.Entry, change Change) *wire.Item {
 	var item *wire.Item
 	var err error
-	switch c := f.cfg.Decode(e).(type) {
+	switch c := change.(type) {
 	case Table:
 		item, err = fleet.TableItem(c.Config, e.Revision)
 	case Endpoint:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,7 +67,6 @@
 // View is the belief at one time. It is immutable.
 type View struct {
 	table     *table.Table
-	learned   time.Time // when the table came into force
 	records   map[string]record
 	services  map[string][]Endpoint
 	listed    bool
@@ -107,9 +106,6 @@
 // Table returns the table in force, or nil before the first one.
 func (v *View) Table() *table.Table { return v.table }
 
-// Age returns how long ago the table came into force.
-func (v *View) Age(now time.Time) time.Duration { return now.Sub(v.learned) }
-
 // Ready reports whether the node knows what to serve.
 func (v *View) Ready() bool { return v.table != nil && v.listed }
 
@@ -158,15 +154,6 @@
 	return owner.Among("store", m.Self().GetId(), n, m.OwnersHere())
 }
 
-// Revision returns the highest store revision of any known item.
-func (v *View) Revision() int64 {
-	var most int64
-	for _, r := range v.records {
-		most = max(most, r.item.GetRevision())
-	}
-	return most
-}
-
 // Names returns the ids of the listed endpoints.
 func (v *View) Names() []string {
 	var ids []string
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,10 +52,6 @@
 func (v *View) learn(now time.Time, m *member.View, from string, items []*wire.Item, listed bool) (*View, []kernel.Effect) {
 	next := *v
 	next.listed = v.listed || listed
-	next.records = maps.Clone(v.records)
-	if next.records == nil {
-		next.records = map[string]record{}
-	}
 	var fresh []*wire.Item
 	var effects []kernel.Effect
 	for _, item := range items {
@@ -62,6 +59,12 @@
 		if known && old.item.GetRevision() >= item.GetRevision() {
 			continue
 		}
+		if len(fresh) == 0 {
+			next.records = maps.Clone(v.records)
+			if next.records == nil {
+				next.records = map[string]record{}
+			}
+		}
 		effects = append(effects, next.put(now, item)...)
 		fresh = append(fresh, item)
 	}
@@ -85,7 +88,6 @@
 		t, err := decodeTable(item)
 		if err == nil && (v.table == nil || t.Version() > v.table.Version()) {
 			v.table = t
-			v.learned = now
 			detail = fmt.Sprintf("routing table version %d", t.Version())
 		} else if err != nil {
 			detail = err.Error()
@@ -132,12 +134,7 @@
 		}
 	}
 	for _, list := range v.services {
-		slices.SortFunc(list, func(a, b Endpoint) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
 }
 
