Log and count the rate limits that endpoints name

The logs did not say what an endpoint named, nor to which node, so that they could not tell nodes that ignore the limit from nodes that each keep all of it. A node now logs 'limit' when an endpoint names another limit to it, and counts these changes. No request is placed differently.

--- a/entry/call.go
+++ b/entry/call.go
@@ -174,6 +174,7 @@
 	v := s.cfg.Dialect.Verdict(a, resp.Status, resp.Header)
 	if !v.AddressReused {
 		s.heedNotice(now, a.Endpoint, notice{leaving: v.Leaving, retryAfter: v.RetryAfter})
+		s.recordRateLimit(a.Endpoint, v.RateLimit)
 	}
 	switch {
 	case v.OtherRequest:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,6 +111,7 @@
 	AddressReused bool   // another server has taken over the endpoint's address
 	Leaving       bool   // the endpoint says that it is leaving
 	RetryAfter    string // of a refusal: seconds for which the endpoint wants no requests from this node; empty for none
+	RateLimit     string // requests a second that the endpoint takes from all nodes together; empty for no limit
 }
 
 // LeaveNotice is an engine's answer to whether it is leaving.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 	retriesDenied *metrics.Counter
 	brokenStreams *metrics.Counter
 	rests         *metrics.Counter
+	limits        *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -41,6 +42,7 @@
 		retries:       set.GetOrCreateCounter("plantaindeck_repeats_total"),
 		retriesDenied: set.GetOrCreateCounter("plantaindeck_repeats_denied_total"),
 		rests:         set.GetOrCreateCounter("plantaindeck_endpoint_rests_total"),
+		limits:        set.GetOrCreateCounter("plantaindeck_endpoint_limits_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- a/entry/rest.go
+++ b/entry/rest.go
@@ -79,6 +79,23 @@
 	s.recordEndpoint("rest", e.ID, fmt.Sprintf("it refused a request and gets none for %s", rest))
 }
 
+// recordRateLimit records that an endpoint has changed the rate limit that it names.
+func (s *Server) recordRateLimit(e fleet.Endpoint, text string) {
+	s.mu.Lock()
+	st := s.usage.stats(e.ID)
+	old := st.rateLimit
+	st.rateLimit = text
+	s.mu.Unlock()
+	switch {
+	case text == old:
+	case text == "":
+		s.recordEndpoint("limit", e.ID, fmt.Sprintf("it named a limit of %s requests a second and names none now", old))
+	default:
+		s.metrics.limits.Inc()
+		s.recordEndpoint("limit", e.ID, fmt.Sprintf("it takes %s requests a second from all nodes together", text))
+	}
+}
+
 // isResting reports whether an endpoint wants no requests from this node now.
 func (s *Server) isResting(now time.Time, id string) bool {
 	s.mu.Lock()
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -44,6 +44,7 @@
 	connectFailures int       // consecutive ones
 	backoffUntil    time.Time // until then the endpoint is chosen only if there is no other
 	restUntil       time.Time // until then the endpoint wants no requests from this node
+	rateLimit       string    // that the endpoint named last; empty for none
 }
 
 // toWire returns the message that tells other nodes of the usage and outcomes.
