Log the versions of endpoints and streams that callers take up again

Endpoints now carry the version that their records state, 'place' and 'move' lines name it, and 'resume' says that a request continues a stream and which one. No request is placed differently.

--- a/entry/call.go
+++ b/entry/call.go
@@ -45,7 +45,7 @@
 			s.addUsage(e.ID, usage{requests: -1})
 			break
 		}
-		s.recordPlacement(rr, c)
+		s.recordPlacement(rr, e, c)
 		rr.tried = append(rr.tried, e.ID)
 		r, err := s.callEndpoint(ctx, rr, e)
 		if err == nil && (r.status < http.StatusInternalServerError || !rr.route.Retryable()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	MaxOutputTokens      int           // of a generation
 	ExpectedOutputTokens int           // output tokens that the caller expects; zero if not stated
 	LastEventID          string        // id of the last event that the caller has received
+	ResumedID            string        // ID of the request that brought the caller the first event of the stream; empty if this one may
 	Arrived              time.Time
 
 	events       int       // of a stream, sent to the caller
@@ -249,10 +250,10 @@
 
 // recordPlacement records which endpoint a request is sent to, and the load and
 // failures by which it was chosen.
-func (s *Server) recordPlacement(rr *routedRequest, c place.Candidate) {
+func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate) {
 	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: fmt.Sprintf(
-		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
-		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)})
+		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint runs version %s and has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
+		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)})
 }
 
 func (s *Server) serve(ctx context.Context, req *Request, out ResponseWriter) *apierr.Error {
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -273,7 +273,7 @@
 	}
 	seg.movedTo = dest
 	s.metrics.recordEvacuation("moved")
-	s.record("move", g.routed.req, seg.endpoint.ID, fmt.Sprintf("the engine is leaving; after %d events the generation continues on %s", seg.eventsBefore+seg.events, dest.endpoint.ID))
+	s.record("move", g.routed.req, seg.endpoint.ID, fmt.Sprintf("the engine is leaving; after %d events the generation continues on %s, from version %s to %s", seg.eventsBefore+seg.events, dest.endpoint.ID, seg.endpoint.Version, dest.endpoint.Version))
 	return true
 }
 
--- a/entry/room.go
+++ b/entry/room.go
@@ -36,7 +36,7 @@
 	until := began.Add(rr.roomWait())
 	for {
 		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
-			s.recordPlacement(rr, c)
+			s.recordPlacement(rr, e, c)
 			return e, true
 		}
 		now := time.Now()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -51,6 +51,9 @@
 // stream, the caller has gone or no further attempt is possible.
 func (s *Server) serveStream(ctx context.Context, rr *routedRequest, out ResponseWriter) *apierr.Error {
 	g := &generation{server: s, routed: rr, out: out, ctx: ctx, lastEventID: rr.req.LastEventID, tokens: rr.req.PromptTokens + rr.expectedOutput()}
+	if rr.req.LastEventID != "" {
+		s.record("resume", rr.req, "", fmt.Sprintf("the caller has the events of a stream up to %q, the first from request %q", rr.req.LastEventID, rr.req.ResumedID))
+	}
 	s.mu.Lock()
 	s.generations[g] = true
 	s.mu.Unlock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,7 @@
 	Centre      string // data centre
 	Slots       int    // requests that it can run at once
 	Leaving     bool
+	Version     string // of its software
 	StartMillis int64  // start of the process, Unix milliseconds by its host's clock
 	hash        uint64 // hash of ID, which decides the load group that prefers the endpoint
 }
--- a/fleet/item.go
+++ b/fleet/item.go
@@ -63,6 +63,7 @@
 		Centre:  e.Centre,
 		Slots:   uint32(e.Slots),
 		Leaving: e.Leaving,
+		Version: e.Version,
 		Born:    e.StartMillis,
 	})
 	if err != nil {
@@ -115,6 +116,7 @@
 		Centre:      body.GetCentre(),
 		Slots:       int(body.GetSlots()),
 		Leaving:     body.GetLeaving(),
+		Version:     body.GetVersion(),
 		StartMillis: body.GetBorn(),
 		hash:        xxhash.Sum64String(id),
 	}, nil
