Continue streams only at the version that began them

Callers got streams with events of two software versions of an engine, which do not fit together. Cause: every path that continues a stream chose its engine without regard to the version. The class: a stream is bound to more than the engine's service, and what it is bound to was known to nobody but the engine.

The first event pins a generation to its engine's version. Migrations, backups and attempts after a break choose among engines of that version only; if none runs it, the generation stays or ends. A caller may come back to any node: the node that sends the first event of a resumable stream tells three holders (new plug-in origin), chosen by the id of the request, and the node to which the caller comes back asks for it. Requests that take up a stream wait for room like retries.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -32,6 +32,7 @@
 	_ "github.com/plantaindeck/plantaindeck/admit"
 	_ "github.com/plantaindeck/plantaindeck/fleet"
 	_ "github.com/plantaindeck/plantaindeck/member"
+	_ "github.com/plantaindeck/plantaindeck/origin"
 	_ "github.com/plantaindeck/plantaindeck/route"
 )
 
@@ -67,12 +68,13 @@
 	http        *fasthttp.Client
 	events      chan kernel.Event
 	state       atomic.Pointer[kernel.State]
-	requestSeq  atomic.Uint64            // number of the latest request id
-	mu          sync.Mutex               // guards pending and loadTargets
-	pending     map[string]chan decision // callers of WaitForGrant, by request id
-	loadTargets []kernel.LoadTarget      // engines whose load is polled
-	background  sync.WaitGroup           // reads of changed documents and of loads
-	closed      chan struct{}            // closed when Run no longer steps the kernel
+	requestSeq  atomic.Uint64                      // number of the latest request id
+	mu          sync.Mutex                         // guards pending, origins and loadTargets
+	pending     map[string]chan decision           // callers of WaitForGrant, by request id
+	origins     map[string]chan kernel.OriginFound // callers of FindOrigin, by id of the question
+	loadTargets []kernel.LoadTarget                // engines whose load is polled
+	background  sync.WaitGroup                     // reads of changed documents and of loads
+	closed      chan struct{}                      // closed when Run no longer steps the kernel
 	steps       *metrics.Counter
 	busySeconds *metrics.FloatCounter
 }
@@ -91,6 +93,7 @@
 		http:        &fasthttp.Client{MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true},
 		events:      make(chan kernel.Event, eventQueueSize),
 		pending:     map[string]chan decision{},
+		origins:     map[string]chan kernel.OriginFound{},
 		closed:      make(chan struct{}),
 		steps:       cfg.Metrics.GetOrCreateCounter("plantaindeck_kernel_steps_total"),
 		busySeconds: cfg.Metrics.GetOrCreateFloatCounter("plantaindeck_kernel_busy_seconds_total"),
@@ -229,6 +232,13 @@
 		d.cfg.Trace.Add(now, trace.Entry{
 			Kind: f.Kind, Request: f.Request, Workspace: f.Workspace, Endpoint: f.Endpoint, Detail: f.Detail,
 		})
+	case kernel.OriginFound:
+		d.mu.Lock()
+		if ch, ok := d.origins[f.Ask]; ok {
+			ch <- f
+			delete(d.origins, f.Ask)
+		}
+		d.mu.Unlock()
 	case kernel.NotifyLeaving:
 		if d.cfg.OnEndpointLeaving != nil {
 			d.cfg.OnEndpointLeaving(f.Endpoint, f.GoneAt)
@@ -282,6 +292,27 @@
 	}
 }
 
+// FindOrigin asks the nodes which software began a stream, given the id of the request
+// that brought the first event. It reports that as not known if ctx ends before.
+func (d *Daemon) FindOrigin(ctx context.Context, request string) kernel.OriginFound {
+	ask := d.NewRequestID()
+	ch := make(chan kernel.OriginFound, 1)
+	d.mu.Lock()
+	d.origins[ask] = ch
+	d.mu.Unlock()
+	d.post(ctx, kernel.OriginAsked{Ask: ask, Request: request})
+	select {
+	case f := <-ch:
+		return f
+	case <-ctx.Done():
+	case <-d.closed:
+	}
+	d.mu.Lock()
+	delete(d.origins, ask)
+	d.mu.Unlock()
+	return kernel.OriginFound{Ask: ask}
+}
+
 // abandonedError returns the error for a request whose context ended, or whose node
 // stopped, before the kernel decided on it.
 func abandonedError(r kernel.Request) error {
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,7 +36,7 @@
 	for ctx.Err() == nil {
 		e, c, ok := s.reserveEndpoint(time.Now(), s.view(), selection{service: rr.service, centre: s.cfg.Centre, avoid: rr.tried, use: usage{requests: 1}})
 		if !ok {
-			if rest := s.restOfAll(time.Now(), s.view(), rr.service.Name); rest > 0 && !rr.mayHaveRun {
+			if rest := s.restOfAll(time.Now(), s.view(), rr.service.Name, nil); rest > 0 && !rr.mayHaveRun {
 				return s.restError(rr, rest)
 			}
 			break
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -181,7 +181,7 @@
 		case move.Copy:
 			target, ok := s.reserveTarget(time.Now(), g, seg, avoid)
 			if !ok {
-				s.record("stay", g.routed.req, seg.endpoint.ID, "the engine is leaving; no other engine has room")
+				s.record("stay", g.routed.req, seg.endpoint.ID, "the engine is leaving; no other engine of its version has room")
 				return
 			}
 			if s.migrate(g, seg, target, noticedAt) {
@@ -231,6 +231,7 @@
 		centre:  seg.endpoint.Centre,
 		need:    place.Need{Tokens: g.tokens},
 		maxFill: place.MaxFillRetried,
+		version: &seg.endpoint.Version,
 		avoid:   append(avoid, seg.endpoint.ID),
 	})
 	for i, e := range endpoints {
--- a/entry/rest.go
+++ b/entry/rest.go
@@ -86,14 +86,14 @@
 	return s.usage.restLeft(now, id) > 0
 }
 
-// restOfAll returns the time until the first endpoint of a service takes requests from
-// this node again, or 0 if one that is not leaving takes them now, or there is none.
-func (s *Server) restOfAll(now time.Time, view *fleet.View, service string) time.Duration {
+// restOfAll returns the time until the first endpoint of a service, of one version unless
+// that is nil, takes requests from this node again, or 0 if one that is not leaving takes them now, or there is none.
+func (s *Server) restOfAll(now time.Time, view *fleet.View, service string, version *string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var first time.Duration
 	for _, e := range view.Endpoints(service) {
-		if e.Leaving {
+		if e.Leaving || version != nil && e.Version != *version {
 			continue
 		}
 		left := s.usage.closedFor(now, view, e.ID)
--- a/entry/rest_test.go
+++ b/entry/rest_test.go
@@ -41,21 +41,21 @@
 	s := &Server{usage: newUsageTracker()}
 	view, now := fleet.Of(n.State(0)), time.Now()
 	ids := view.EndpointIDs()
-	usable := func(now time.Time) int { return len(s.usableEndpoints(now, view, "model", nil)) }
+	usable := func(now time.Time) int { return len(s.usableEndpoints(now, view, "model", nil, nil)) }
 	qt.Assert(t, usable(now), qt.Equals, 2)
 	s.usage.setRest(ids[0], now.Add(2*time.Second))
 	s.usage.setRest(ids[0], now.Add(time.Second))
 	qt.Assert(t, usable(now), qt.Equals, 1)
-	qt.Assert(t, s.restOfAll(now, view, "model"), qt.Equals, time.Duration(0))
+	qt.Assert(t, s.restOfAll(now, view, "model", nil), qt.Equals, time.Duration(0))
 	s.usage.setRest(ids[1], now.Add(3*time.Second))
 	qt.Assert(t, usable(now), qt.Equals, 0)
-	qt.Assert(t, s.restOfAll(now, view, "model"), qt.Equals, 2*time.Second)
+	qt.Assert(t, s.restOfAll(now, view, "model", nil), qt.Equals, 2*time.Second)
 	s.usageReport(now.Add(time.Second))
 	qt.Assert(t, usable(now.Add(2*time.Second-1)), qt.Equals, 0)
 	qt.Assert(t, usable(now.Add(2*time.Second)), qt.Equals, 1)
 	// A leaving endpoint will take no requests when its time is over.
 	n.Step(0, kernel.ItemsLearned{Items: []*wire.Item{fleet.RemovedItem(ids[0], fleet.Version{Revision: 100})}})
-	qt.Assert(t, s.restOfAll(now, fleet.Of(n.State(0)), "model"), qt.Equals, 3*time.Second)
+	qt.Assert(t, s.restOfAll(now, fleet.Of(n.State(0)), "model", nil), qt.Equals, 3*time.Second)
 }
 
 // TestUnreachableEndpoints replays a server that resets its connections while it is
@@ -65,7 +65,7 @@
 	n := startNetwork(t, 9, 3)
 	ids := fleet.Of(n.State(0)).EndpointIDs()
 	usable := func(s *Server, now time.Time, node int) int {
-		return len(s.usableEndpoints(now, fleet.Of(n.State(node)), "model", nil))
+		return len(s.usableEndpoints(now, fleet.Of(n.State(node)), "model", nil, nil))
 	}
 	for name, test := range map[string]struct {
 		err  error
--- /dev/null
+++ b/entry/resume.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/table"
+)
+
+// originTimeout is how long the other nodes are asked which version began a stream.
+// An answer takes a few milliseconds; a caller that is refused comes back.
+const originTimeout = 250 * time.Millisecond
+
+// pinResumed pins a generation that the caller takes up again to the software version
+// that began its stream. It returns an error if the stream cannot go on.
+func (g *generation) pinResumed() *apierr.Error {
+	s, rr := g.server, g.routed
+	ctx, cancel := context.WithTimeout(g.ctx, originTimeout)
+	defer cancel()
+	origin := s.cfg.Daemon.FindOrigin(ctx, rr.req.ResumedID)
+	view := s.view()
+	if !origin.Known {
+		version, sole := view.SoleVersion(time.Now(), rr.service.Name)
+		if !sole {
+			return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "it is not known which version of %q began the stream", rr.service.Name).WithRetryAfter(s.addJitter(unavailableRetryAfter))
+		}
+		g.version = &version
+		return nil
+	}
+	if origin.Service != rr.service.Name {
+		svc, ok := view.Table().Service(origin.Service)
+		if !ok || !slices.ContainsFunc(rr.route.Shares, func(sh table.Share) bool { return sh.Service == origin.Service }) {
+			return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "the stream began at service %q, which route %q no longer names", origin.Service, rr.route.Name).WithRetryAfter(s.addJitter(unavailableRetryAfter))
+		}
+		rr.service = svc
+	}
+	g.version = &origin.Version
+	return nil
+}
+
+// pin pins a generation to the version of the engine that makes its first event. The
+// other nodes learn it if the caller may take the stream up again.
+func (g *generation) pin() {
+	if g.version != nil {
+		return
+	}
+	version := g.endpoint.Version
+	g.version = &version
+	if rr := g.routed; rr.route.Resumable {
+		g.server.cfg.Daemon.Post(g.ctx, kernel.StreamBegan{Request: rr.req.ID, Service: rr.service.Name, Version: version})
+	}
+}
+
+// serves reports whether an endpoint of a service that is not leaving runs a version.
+func serves(view *fleet.View, service, version string) bool {
+	return slices.ContainsFunc(view.Endpoints(service), func(e fleet.Endpoint) bool { return !e.Leaving && e.Version == version })
+}
--- a/entry/room.go
+++ b/entry/room.go
@@ -28,6 +28,7 @@
 		centre:  s.cfg.Centre,
 		need:    place.Need{Tokens: g.tokens},
 		maxFill: rr.maxFill(),
+		version: g.version,
 		avoid:   rr.tried,
 		use:     g.usageOnEngine(),
 	}
@@ -39,8 +40,12 @@
 			s.recordPlacement(rr, e, c)
 			return e, true
 		}
+		if g.version != nil && !serves(s.view(), rr.service.Name, *g.version) {
+			g.lastErr = errors.Errorf("no engine runs version %s, which began the stream", *g.version)
+			return fleet.Endpoint{}, false
+		}
 		now := time.Now()
-		if rest := s.restOfAll(now, s.view(), rr.service.Name); rest > 0 && rest > until.Sub(now) {
+		if rest := s.restOfAll(now, s.view(), rr.service.Name, g.version); rest > 0 && rest > until.Sub(now) {
 			g.rest = rest
 			g.lastErr = errors.Errorf("no engine takes requests for %s", rest.Round(time.Millisecond))
 			return fleet.Endpoint{}, false
@@ -90,9 +95,10 @@
 }
 
 // isCallerRetry reports whether the request is likely the caller's retry of one
-// that was shed: the caller waits for less time than the route allows.
+// that was shed, as the caller waits for less time than the route allows, or takes up a
+// stream again.
 func (rr *routedRequest) isCallerRetry() bool {
-	return rr.req.CallerTimeout > 0 && rr.req.CallerTimeout < rr.route.Timeout-callerRetrySlack
+	return rr.req.LastEventID != "" || rr.req.CallerTimeout > 0 && rr.req.CallerTimeout < rr.route.Timeout-callerRetrySlack
 }
 
 // roomWait returns how long a request waits for room before it is shed. A retry
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -41,6 +41,7 @@
 	attempts      int
 	refusals      int
 	lastErr       error
+	version       *string       // of the engines that made the events which the caller has; nil if it has none
 	rest          time.Duration // until the first engine takes requests again, when that kept the generation from being placed; else 0
 
 	// Guarded by the server's mutex.
@@ -52,7 +53,10 @@
 func (s *Server) serveStream(ctx context.Context, rr *routedRequest, out ResponseWriter) *apierr.Error {
 	g := &generation{server: s, routed: rr, out: out, ctx: ctx, lastEventID: rr.req.LastEventID, tokens: rr.req.PromptTokens + rr.expectedOutput()}
 	if rr.req.LastEventID != "" {
-		s.record("resume", rr.req, "", fmt.Sprintf("the caller has the events of a stream up to %q, the first from request %q", rr.req.LastEventID, rr.req.ResumedID))
+		if fail := g.pinResumed(); fail != nil {
+			return fail
+		}
+		s.record("resume", rr.req, "", fmt.Sprintf("the caller has the events of a stream up to %q, the first from request %q by version %s", rr.req.LastEventID, rr.req.ResumedID, *g.version))
 	}
 	s.mu.Lock()
 	s.generations[g] = true
@@ -220,7 +224,7 @@
 	if maxFill == 0 || svc.Engine == nil || !svc.Engine.SupportsBackups || g.routed.route.Resumable && g.routed.expectedOutput() < minBackupOutput {
 		return
 	}
-	sel := selection{service: svc, centre: g.endpoint.Centre, need: place.Need{Tokens: g.tokens}, maxFill: maxFill, avoid: []string{g.endpoint.ID}, use: usage{tokens: g.tokens}}
+	sel := selection{service: svc, centre: g.endpoint.Centre, need: place.Need{Tokens: g.tokens}, maxFill: maxFill, version: &g.endpoint.Version, avoid: []string{g.endpoint.ID}, use: usage{tokens: g.tokens}}
 	if e, _, ok := g.server.reserveEndpoint(time.Now(), g.server.view(), sel); ok {
 		g.backup = e
 	}
@@ -282,6 +286,7 @@
 func (g *generation) writeEvent(event relay.Event) error {
 	if !g.headerSent {
 		g.headerSent = true
+		g.pin()
 		g.out.Start(http.StatusOK, g.header, -1)
 	}
 	if event.ID != "" {
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -209,6 +209,7 @@
 	centre  string // data centre that is preferred
 	need    place.Need
 	maxFill float64  // fraction of an engine's memory within which the request must fit; 0 if it need not fit
+	version *string  // that the endpoint must run; nil for any
 	avoid   []string // ids of endpoints that are not chosen
 	use     usage    // added to the usage of the endpoint that is chosen
 }
@@ -238,7 +239,7 @@
 func (s *Server) fittingCandidates(now time.Time, view *fleet.View, sel selection) ([]fleet.Endpoint, []place.Candidate) {
 	var endpoints []fleet.Endpoint
 	var candidates []place.Candidate
-	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.avoid) {
+	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid) {
 		c := s.candidate(now, view, sel.service, e, sel.centre)
 		if sel.maxFill == 0 || place.Fits(sel.need, c, sel.maxFill) {
 			endpoints = append(endpoints, e)
@@ -250,10 +251,13 @@
 
 // consideredEndpoints returns the endpoints that a choice considers: all those
 // of a service or, if there are many, those of the load group and a few random
-// others, so that the cost of a choice does not grow with the deployment. The
-// mutex is held.
-func (s *Server) consideredEndpoints(view *fleet.View, service string) []fleet.Endpoint {
+// others, so that the cost of a choice does not grow with the deployment. With a version
+// that is not nil, only endpoints that run it are considered. The mutex is held.
+func (s *Server) consideredEndpoints(view *fleet.View, service string, version *string) []fleet.Endpoint {
 	all := view.Endpoints(service)
+	if version != nil {
+		all = slices.DeleteFunc(slices.Clone(all), func(e fleet.Endpoint) bool { return e.Version != *version })
+	}
 	if len(all) <= maxFullScan {
 		return all
 	}
@@ -272,12 +276,13 @@
 	return list
 }
 
-// usableEndpoints returns the considered endpoints that are neither leaving, nor in
+// usableEndpoints returns the considered endpoints of a version, or of any version if that
+// is nil, that are neither leaving, nor in
 // avoid, nor take no requests from this node now: those that are not in backoff or, if all are, those
 // in backoff. The mutex is held.
-func (s *Server) usableEndpoints(now time.Time, view *fleet.View, service string, avoid []string) []fleet.Endpoint {
+func (s *Server) usableEndpoints(now time.Time, view *fleet.View, service string, version *string, avoid []string) []fleet.Endpoint {
 	var ready, inBackoff []fleet.Endpoint
-	for _, e := range s.consideredEndpoints(view, service) {
+	for _, e := range s.consideredEndpoints(view, service, version) {
 		switch {
 		case e.Leaving || slices.Contains(avoid, e.ID) || s.usage.closedFor(now, view, e.ID) > 0:
 		case s.usage.inBackoff(now, e.ID) || view.RemoteUsage(e.ID).Unreachable >= minUnreachable:
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -20,7 +20,8 @@
 
 var engineService = &table.Service{Name: "model", Engine: &table.Engine{Slots: 24, Memory: 34000}}
 
-// startNetwork returns a network whose nodes know engines in three data centres.
+// startNetwork returns a network whose nodes know engines in three data centres. The last
+// engine runs another version than the others.
 func startNetwork(t testing.TB, nodes, engines int) *simnet.Network {
 	n := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond})
 	n.Run(20 * time.Second)
@@ -29,7 +30,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	learned := kernel.ItemsLearned{Items: []*wire.Item{item}, Complete: true}
 	for i := range engines {
-		e := fleet.Endpoint{ID: fmt.Sprintf("i-%010x", i), Service: "model", Addr: "10.0.0.1:80", Centre: member.Of(n.State(i % 3)).Self().GetCentre(), Slots: 24}
+		e := fleet.Endpoint{ID: fmt.Sprintf("i-%010x", i), Service: "model", Addr: "10.0.0.1:80", Centre: member.Of(n.State(i % 3)).Self().GetCentre(), Slots: 24, Version: "v1"}
+		if i == engines-1 {
+			e.Version = "v2"
+		}
 		item, err := fleet.EndpointItem(e, fleet.Version{Revision: int64(i + 2)})
 		qt.Assert(t, err, qt.IsNil)
 		learned.Items = append(learned.Items, item)
@@ -93,3 +97,23 @@
 		qt.Assert(t, st.requests, qt.Equals, engineService.Engine.Slots, qt.Commentf("engine %s", id))
 	}
 }
+
+// TestRareVersionIsFound checks that a generation that must go on at a version finds the
+// only engine that runs it, also among more engines than a choice considers.
+func TestRareVersionIsFound(t *testing.T) {
+	for _, engines := range []int{2, 300} {
+		n := startNetwork(t, 4, engines)
+		for i := range 4 {
+			s := &Server{usage: newUsageTracker(), rand: rand.New(rand.NewPCG(1, 2))}
+			view := fleet.Of(n.State(i))
+			version, gone := "v2", "v3"
+			e, _, ok := s.reserveEndpoint(time.Now(), view, selection{service: engineService, version: &version})
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, e.Version, qt.Equals, version)
+			_, _, ok = s.reserveEndpoint(time.Now(), view, selection{service: engineService, version: &gone})
+			qt.Assert(t, ok, qt.IsFalse)
+			qt.Assert(t, serves(view, "model", version), qt.IsTrue)
+			qt.Assert(t, serves(view, "model", gone), qt.IsFalse)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,6 +109,7 @@
 	leaveReports  map[string]leaveReport   // by endpoint
 	limits        map[string]rateLimit     // by endpoint
 	shares        map[string]RateShare     // of the limits that count, by endpoint
+	mixedAt       map[string]time.Time     // when endpoints of more than one version were last listed, by service
 }
 
 // peerUsage is what one other node runs.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -287,6 +287,7 @@
 		next.expireTombstones(now)
 		next.expireReports(now)
 		next.expireLimits(now)
+		next.recordMixed(now)
 		for _, id := range m.Neighbours() {
 			effects = append(effects, next.sendItems(id, nil))
 		}
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -81,6 +81,14 @@
 	GoneAt   time.Time // when the endpoint will be gone; zero if unknown
 }
 
+// OriginFound tells the asker of an OriginAsked which software began the stream.
+type OriginFound struct {
+	Ask     string // id of the question
+	Known   bool   // whether any node that was asked knows the stream
+	Service string
+	Version string // of the software of the endpoint that made the first event
+}
+
 // Record adds an entry to the node's trace.
 type Record struct {
 	Kind      string // short name of what happened, such as "grant"
@@ -98,4 +106,5 @@
 func (AdoptDocument) isEffect() {}
 func (WatchLoad) isEffect()     {}
 func (NotifyLeaving) isEffect() {}
+func (OriginFound) isEffect()   {}
 func (Record) isEffect()        {}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -146,6 +146,20 @@
 	SentAt      time.Time // when the request was sent to which the endpoint responded
 }
 
+// StreamBegan reports that a caller gets the first event of a stream that it may take up
+// again at any node.
+type StreamBegan struct {
+	Request string // id of the request that brings the event
+	Service string
+	Version string // of the software of the endpoint that made the event
+}
+
+// OriginAsked asks which software began a stream. An OriginFound effect answers it.
+type OriginAsked struct {
+	Ask     string // id of the question
+	Request string // as in StreamBegan
+}
+
 // Stopping reports that this node has been asked to stop.
 type Stopping struct{}
 
@@ -164,4 +178,6 @@
 func (LocalUsageReported) isEvent() {}
 func (LeaveReported) isEvent()      {}
 func (LimitReported) isEvent()      {}
+func (StreamBegan) isEvent()        {}
+func (OriginAsked) isEvent()        {}
 func (Stopping) isEvent()           {}
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,134 @@
+package origin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/origin"
+	"github.com/plantaindeck/plantaindeck/simnet"
+)
+
+const (
+	joinTimeout = 20 * time.Second
+	askTime     = 20 * time.Millisecond // in which a question is answered
+)
+
+// network is a simulated network that collects the answers to questions.
+type network struct {
+	*simnet.Network
+	found map[string]kernel.OriginFound // by id of the question
+}
+
+func newNetwork(t *testing.T, nodes int) *network {
+	n := &network{found: map[string]kernel.OriginFound{}}
+	n.Network = simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(_ int, _ time.Time, f kernel.Effect) []kernel.Event {
+		if found, ok := f.(kernel.OriginFound); ok {
+			n.found[found.Ask] = found
+		}
+		return nil
+	}})
+	joined := n.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
+		for i := range nodes {
+			if len(member.Of(n.State(i)).Owners()) != nodes {
+				return false
+			}
+		}
+		return true
+	})
+	qt.Assert(t, joined, qt.IsTrue)
+	return n
+}
+
+// begin reports a stream at a node.
+func (n *network) begin(node int, request string) {
+	n.Step(node, kernel.StreamBegan{Request: request, Service: "model", Version: "v-" + request})
+}
+
+// ask asks at a node which software began a stream, and returns the answer.
+func (n *network) ask(t *testing.T, node int, request string) kernel.OriginFound {
+	t.Helper()
+	ask := fmt.Sprintf("%d-%s-%s", node, request, n.Elapsed())
+	n.Step(node, kernel.OriginAsked{Ask: ask, Request: request})
+	n.Run(askTime)
+	found, ok := n.found[ask]
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("no answer at node %d", node))
+	return found
+}
+
+// assertKnown checks that a node learns which software began a stream.
+func (n *network) assertKnown(t *testing.T, node int, request string) {
+	t.Helper()
+	found := n.ask(t, node, request)
+	qt.Assert(t, found.Known, qt.IsTrue, qt.Commentf("%s at node %d", request, node))
+	qt.Assert(t, found.Version, qt.Equals, "v-"+request)
+	qt.Assert(t, found.Service, qt.Equals, "model")
+}
+
+// TestOriginOutlivesNodes checks that any node learns which software began a stream, also
+// when the node that began it has ended, and while nodes are replaced one after another.
+func TestOriginOutlivesNodes(t *testing.T) {
+	for _, nodes := range []int{4, 24, 100} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			n := newNetwork(t, nodes)
+			var requests []string
+			for i := range 20 {
+				requests = append(requests, fmt.Sprint("r", i))
+				n.begin(0, requests[i])
+			}
+			n.Run(10 * time.Millisecond)
+			n.Kill(0)
+			for i, request := range requests {
+				n.assertKnown(t, 1+i%(nodes-1), request)
+			}
+			n.Restart(0)
+			n.Run(5 * time.Second)
+			n.Kill(1)
+			n.Restart(1)
+			n.Run(5 * time.Second)
+			for i, request := range requests {
+				n.assertKnown(t, i%nodes, request)
+			}
+			held := 0
+			for i := range nodes {
+				held += origin.Of(n.State(i)).Len()
+			}
+			qt.Assert(t, held <= 3*len(requests), qt.IsTrue, qt.Commentf("%d records of %d streams", held, len(requests)))
+		})
+	}
+}
+
+// TestOriginIsForgotten checks that records are kept for a minute and dropped after two.
+func TestOriginIsForgotten(t *testing.T) {
+	n := newNetwork(t, 4)
+	n.begin(0, "r")
+	n.Run(time.Minute - time.Second)
+	n.assertKnown(t, 1, "r")
+	n.Run(2 * time.Minute)
+	qt.Assert(t, n.ask(t, 1, "r").Known, qt.IsFalse)
+	qt.Assert(t, origin.Of(n.State(0)).Len(), qt.Equals, 0)
+}
+
+// TestOriginUnknown checks that a question about a stream that nobody knows is answered,
+// also by a node that knows no other.
+func TestOriginUnknown(t *testing.T) {
+	for _, nodes := range []int{1, 4} {
+		n := newNetwork(t, nodes)
+		qt.Assert(t, n.ask(t, 0, "r").Known, qt.IsFalse)
+	}
+}
+
+// TestFirstOriginCounts checks that a stream keeps the version of its first event.
+func TestFirstOriginCounts(t *testing.T) {
+	n := newNetwork(t, 4)
+	n.begin(0, "r")
+	n.Run(10 * time.Millisecond)
+	n.Step(0, kernel.StreamBegan{Request: "r", Service: "model", Version: "v-other"})
+	n.Run(10 * time.Millisecond)
+	for i := range 4 {
+		n.assertKnown(t, i, "r")
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,6 +8,9 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -30,6 +33,14 @@
 	return first, second
 }
 
+// Top returns the members with the n highest weights for key, the highest first.
+func Top(key string, n int, members []string) []string {
+	keyHash := xxhash.Sum64String(key)
+	list := slices.Clone(members)
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(weight(keyHash, b), weight(keyHash, a)) })
+	return list[:min(n, len(list))]
+}
+
 // Rank returns the number of members that have a higher weight for key than id.
 func Rank(key, id string, members []string) int {
 	keyHash := xxhash.Sum64String(key)
