Divide rate limits among all members that run, those on hold included

After a loss of power the nodes that come back are kept from being owners for 4 s and more, but only by nodes that remember their death. The simulation now counts as the users do, by what each node was told since its start.

--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	limitWindow   = 4 * time.Second // any span of which is judged
-	limitGrace    = time.Second     // from the first response that names a limit until all nodes keep it
+	limitWindow   = 4 * time.Second        // any span of which is judged
+	toldGrace     = 500 * time.Millisecond // from the first response to a node that names a limit until its requests count
 	simStep       = 10 * time.Millisecond
 	responseTime  = 300 * time.Millisecond
-	excusedAfter  = limitWindow + 2*time.Second // for which the restart of a node excuses its requests
-	liftTime      = 10 * time.Second            // in which an endpoint that takes 0.5 requests a second gets some
-	memberTimeout = 10 * time.Second            // until nodes agree on the members again
+	liftTime      = 10 * time.Second // in which an endpoint that takes 0.5 requests a second gets some
+	memberTimeout = 10 * time.Second // until nodes agree on the members again
 )
 
 // allowedRequests returns how many requests an endpoint that names a limit may get in any
@@ -31,7 +30,7 @@
 // arrival is a request that an endpoint got.
 type arrival struct {
 	at   time.Time
-	node int
+	told bool // the endpoint had named its limit to the node toldGrace before or earlier
 }
 
 // limitSim simulates the nodes of a network that place requests on endpoints, some of
@@ -44,16 +43,18 @@
 	limits   map[string]float64 // that endpoints name, by id
 	arrivals map[string][]arrival
 	rejected int
-	excused  map[int]time.Time // when each node was restarted last
+	started  map[int]time.Time      // when each node was restarted last
+	told     []map[string]time.Time // when each node first got a response that names a limit since its start, by endpoint
 }
 
 func newLimitSim(t *testing.T, nodes, engines int, demand float64) *limitSim {
 	sim := &limitSim{
 		Network: startNetwork(t, nodes, engines), rand: rand.New(rand.NewPCG(3, 4)), demand: demand,
-		limits: map[string]float64{}, arrivals: map[string][]arrival{}, excused: map[int]time.Time{},
+		limits: map[string]float64{}, arrivals: map[string][]arrival{}, started: map[int]time.Time{},
 	}
 	for i := range nodes {
 		sim.servers = append(sim.servers, newSimServer(i))
+		sim.told = append(sim.told, map[string]time.Time{})
 	}
 	return sim
 }
@@ -78,6 +79,9 @@
 			sim.servers[r.node].usage.add(now, r.endpoint.ID, usage{requests: -1})
 			report := kernel.LimitReported{Endpoint: r.endpoint.ID, SentAt: r.sentAt}
 			report.Rate, report.Named = sim.limits[r.endpoint.ID]
+			if _, known := sim.told[r.node][r.endpoint.ID]; report.Named && !known && !r.sentAt.Before(sim.started[r.node]) {
+				sim.told[r.node][r.endpoint.ID] = now
+			}
 			if sim.Up(r.node) && fleet.Of(sim.State(r.node)).ChangesLimit(report) {
 				sim.Step(r.node, report)
 			}
@@ -92,29 +96,32 @@
 				sim.rejected++
 				continue
 			}
-			sim.arrivals[e.ID] = append(sim.arrivals[e.ID], arrival{now, i})
+			sim.arrivals[e.ID] = append(sim.arrivals[e.ID], arrival{now, sim.wasTold(i, e.ID, now)})
 			responses = append(responses, response{now.Add(responseTime), now, i, e})
 		}
 	}
 }
 
+// wasTold reports whether an endpoint has told a node of its limit long enough ago.
+func (sim *limitSim) wasTold(node int, endpoint string, now time.Time) bool {
+	at, ok := sim.told[node][endpoint]
+	return ok && now.Sub(at) >= toldGrace
+}
+
 // restart ends a node and starts it again.
 func (sim *limitSim) restart(node int) {
 	sim.Kill(node)
 	sim.Restart(node)
 	sim.servers[node] = newSimServer(node)
-	sim.excused[node] = sim.Now()
+	sim.told[node], sim.started[node] = map[string]time.Time{}, sim.Now()
 }
 
-// assertLimitsKept checks the arrivals at the endpoints that have named a limit since the
-// given time, but for those from nodes that have just been restarted.
-func (sim *limitSim) assertLimitsKept(t *testing.T, named time.Time) {
+// assertLimitsKept checks the arrivals at the endpoints that name a limit, from nodes that
+// they have told.
+func (sim *limitSim) assertLimitsKept(t *testing.T) {
 	t.Helper()
 	for id, limit := range sim.limits {
-		list := slices.DeleteFunc(slices.Clone(sim.arrivals[id]), func(a arrival) bool {
-			restarted, ok := sim.excused[a.node]
-			return a.at.Before(named.Add(limitGrace)) || ok && !a.at.Before(restarted) && a.at.Sub(restarted) < excusedAfter
-		})
+		list := slices.DeleteFunc(slices.Clone(sim.arrivals[id]), func(a arrival) bool { return !a.told })
 		for i := range list {
 			j := i
 			for j < len(list) && list[j].at.Sub(list[i].at) < limitWindow {
@@ -150,7 +157,7 @@
 				}
 				named := sim.Now()
 				sim.run(10 * time.Second)
-				sim.assertLimitsKept(t, named)
+				sim.assertLimitsKept(t)
 				if limited < size.engines {
 					qt.Assert(t, sim.rejected, qt.Equals, 0)
 				} else {
@@ -164,7 +171,7 @@
 					sim.run(2 * time.Second)
 				}
 				sim.run(memberTimeout)
-				sim.assertLimitsKept(t, named)
+				sim.assertLimitsKept(t)
 				clear(sim.limits)
 				sim.run(liftTime)
 				for i := range size.nodes {
@@ -175,6 +182,34 @@
 	}
 }
 
+// TestRateLimitAfterPowerLoss replays the loss of power of most nodes, twice. They are
+// declared dead and come back, and others keep them from being owners for a time: the nodes
+// must agree at once on who shares a limit all the same.
+func TestRateLimitAfterPowerLoss(t *testing.T) {
+	for _, nodes := range []int{4, 24, 77} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			const engines = 3
+			sim := newLimitSim(t, nodes, engines, 24)
+			for _, id := range fleet.Of(sim.State(0)).EndpointIDs() {
+				sim.limits[id] = 12
+			}
+			sim.run(4 * time.Second)
+			lost := nodes * 3 / 4
+			for range 2 {
+				for i := range lost {
+					sim.Kill(i)
+				}
+				sim.run(8 * time.Second)
+				for i := range lost {
+					sim.restart(i)
+				}
+				sim.run(12 * time.Second)
+				sim.assertLimitsKept(t)
+			}
+		})
+	}
+}
+
 func TestParseRateLimit(t *testing.T) {
 	for text, want := range map[string]float64{"0": 0, "4": 4, "2.6": 2.6, "1e3": 1000} {
 		got, err := parseRateLimit(text)
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -102,24 +102,32 @@
 // maxRateBurst bounds the burst of an endpoint that names an enormous limit.
 const maxRateBurst = 1 << 20
 
-// sharers returns the nodes that may send requests to an endpoint with a rate limit: the
-// load group that prefers it, or all nodes if there is none in its data centre.
-func (v *View) sharers(m *member.View, e Endpoint) []string {
-	if v.group.Covers(e) {
-		return v.group.Nodes()
+// sharersOf returns the nodes that may send requests to an endpoint with a rate limit: the
+// load group that prefers it, or all members if there is none in its data centre. It
+// returns nil if that is another group than the given one, this node's.
+func sharersOf(m *member.View, e Endpoint, group LoadGroup, members []string) []string {
+	if group.Covers(e) {
+		return group.Nodes()
 	}
-	for _, id := range m.Owners() {
+	for _, id := range members {
 		if p, ok := m.Get(id); ok && p.Member.GetCentre() == e.Centre {
 			return nil
 		}
 	}
-	return m.Owners()
+	return members
 }
 
 // divideLimits computes this node's shares of the limits that count. An endpoint whose
-// record was removed keeps its limit, as it may still run.
+// record was removed keeps its limit, as it may still run. Members on hold count: they
+// serve callers, and while only some nodes kept them from being owners, the shares would
+// add up to more than the limit.
 func (v *View) divideLimits(m *member.View) {
 	v.shares = nil
+	if len(v.limits) == 0 {
+		return
+	}
+	members := m.UsableIDs()
+	group := loadGroupAmong(m, members)
 	for id, l := range v.limits {
 		e, listed := v.Endpoint(id)
 		if l.lifted || listed && e.StartMillis != l.startMillis {
@@ -128,7 +136,7 @@
 		if v.shares == nil {
 			v.shares = map[string]RateShare{}
 		}
-		v.shares[id] = shareOf(l.rate, id, m.Self().GetId(), v.sharers(m, e))
+		v.shares[id] = shareOf(l.rate, id, m.Self().GetId(), sharersOf(m, e, group, members))
 	}
 }
 
--- a/fleet/loadgroup.go
+++ b/fleet/loadgroup.go
@@ -31,15 +31,18 @@
 }
 
 // loadGroupOf returns the load group of this node.
-func loadGroupOf(m *member.View) LoadGroup {
-	owners := m.Owners()
-	if len(owners) <= maxMeshNodes {
-		return LoadGroup{nodes: owners}
+func loadGroupOf(m *member.View) LoadGroup { return loadGroupAmong(m, m.Owners()) }
+
+// loadGroupAmong returns the load group that this node has if the given members, whose
+// ids are sorted, are the owners.
+func loadGroupAmong(m *member.View, members []string) LoadGroup {
+	if len(members) <= maxMeshNodes {
+		return LoadGroup{nodes: members}
 	}
-	inCentre := m.OwnersInCentre()
+	inCentre := m.InCentre(members)
 	g := LoadGroup{nodes: inCentre, centre: m.Self().GetCentre(), count: 1}
 	i, ok := slices.BinarySearch(inCentre, m.Self().GetId())
-	if len(owners) < minLargeNodes || !ok {
+	if len(members) < minLargeNodes || !ok {
 		return g
 	}
 	g.count = (len(inCentre) + maxGroupNodes - 1) / maxGroupNodes
--- a/member/member.go
+++ b/member/member.go
@@ -127,13 +127,28 @@
 }
 
 // OwnersInCentre returns the sorted ids of the owners in this node's data centre.
-func (v *View) OwnersInCentre() []string {
-	var ids []string
-	for _, id := range v.owners {
+func (v *View) OwnersInCentre() []string { return v.InCentre(v.owners) }
+
+// InCentre returns those of the members that are in this node's data centre.
+func (v *View) InCentre(ids []string) []string {
+	var list []string
+	for _, id := range ids {
 		if v.SameCentre(id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// UsableIDs returns the sorted ids of the usable members, those on hold included.
+func (v *View) UsableIDs() []string {
+	var ids []string
+	for id, p := range v.peers {
+		if usable(p) {
 			ids = append(ids, id)
 		}
 	}
+	sort.Strings(ids)
 	return ids
 }
 
