--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -132,3 +132,30 @@
 		n.assertKnown(t, i, "r")
 	}
 }
+
+const (
+	controlBudget   = 7000 // bytes a second that a node may send for control, at the design size
+	frameOverhead   = 14   // bytes by which sessions lengthen each message
+	streamsPerNode  = 5    // a second, at the design size
+	costMeasureTime = 2 * time.Second
+)
+
+// TestOriginCost measures what the records of streams add to the traffic between nodes.
+func TestOriginCost(t *testing.T) {
+	n := newNetwork(t, 100)
+	n.Run(10 * time.Second)
+	sent := func() int { return n.BytesSent + frameOverhead*n.MessagesSent }
+	start := sent()
+	n.Run(costMeasureTime)
+	idle := sent() - start
+	start = sent()
+	for i := range int(costMeasureTime.Seconds()) * streamsPerNode {
+		for node := range 100 {
+			n.Step(node, kernel.StreamBegan{Request: fmt.Sprintf("%08x%04x%04x", node, i, i), Service: "lode50a", Version: "v1.2"})
+		}
+		n.Run(time.Second / streamsPerNode)
+	}
+	cost := float64(sent()-start-idle) / 100 / costMeasureTime.Seconds()
+	t.Logf("%.0f bytes a second and node for %d streams a second", cost, streamsPerNode)
+	qt.Assert(t, cost < controlBudget, qt.IsTrue)
+}
