--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,10 +35,21 @@
 
 // Top returns the members with the n highest weights for key, the highest first.
 func Top(key string, n int, members []string) []string {
+	type weighted struct {
+		member string
+		weight uint64
+	}
 	keyHash := xxhash.Sum64String(key)
-	list := slices.Clone(members)
-	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(weight(keyHash, b), weight(keyHash, a)) })
-	return list[:min(n, len(list))]
+	list := make([]weighted, len(members))
+	for i, m := range members {
+		list[i] = weighted{m, weight(keyHash, m)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	top := make([]string, min(n, len(list)))
+	for i := range top {
+		top[i] = list[i].member
+	}
+	return top
 }
 
 // Rank returns the number of members that have a higher weight for key than id.
