Keep the limiter of an idle endpoint until its burst is full

An endpoint that refuses requests has no successes and no usage, so that its statistics were dropped at the next report and its limiter began anew with a full burst. TestIdleEndpointKeepsItsLimit failed before.

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -217,10 +217,10 @@
 }
 
 // reserveTarget chooses the engine that a generation migrates to, adds the memory that the
-// generation needs to its usage, and counts the continuation against its rate limit: a random one with room, if possible in the
-// data centre of the leaving engine, as copies to other data centres take twice as
-// long. The choice is random so that nodes that migrate generations at the same time do
-// not all choose the engine with the least load.
+// generation needs to its usage, and counts the continuation against its rate limit: a
+// random one with room, if possible in the data centre of the leaving engine, as copies to
+// other data centres take twice as long. The choice is random so that nodes that migrate
+// generations at the same time do not all choose the engine with the least load.
 func (s *Server) reserveTarget(now time.Time, g *generation, seg *segment, avoid []string) (fleet.Endpoint, bool) {
 	view := s.view()
 	s.mu.Lock()
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -210,6 +210,25 @@
 	}
 }
 
+// TestIdleEndpointKeepsItsLimit checks that an endpoint whose statistics have decayed is
+// not given its burst anew.
+func TestIdleEndpointKeepsItsLimit(t *testing.T) {
+	n := startNetwork(t, 4, 1)
+	id := fleet.Of(n.State(0)).EndpointIDs()[0]
+	n.Step(0, kernel.LimitReported{Endpoint: id, Named: true, Rate: 0.3, SentAt: n.Now()})
+	for i := range 4 {
+		s, view := newSimServer(i), fleet.Of(n.State(i))
+		n.Run(time.Second)
+		now := n.Now()
+		for s.usage.takeCall(now, view, id) {
+			continue
+		}
+		s.usage.changed = true
+		s.usageReport(now.Add(time.Second))
+		qt.Assert(t, s.usage.takeCall(now.Add(time.Second), view, id), qt.IsFalse)
+	}
+}
+
 func TestParseRateLimit(t *testing.T) {
 	for text, want := range map[string]float64{"0": 0, "4": 4, "2.6": 2.6, "1e3": 1000} {
 		got, err := parseRateLimit(text)
--- a/entry/rest.go
+++ b/entry/rest.go
@@ -87,7 +87,8 @@
 }
 
 // restOfAll returns the time until the first endpoint of a service, of one version unless
-// that is nil, takes requests from this node again, or 0 if one that is not leaving takes them now, or there is none.
+// that is nil, takes requests from this node again, or 0 if one that is not leaving takes
+// them now, or there is none.
 func (s *Server) restOfAll(now time.Time, view *fleet.View, service string, version *string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -177,6 +177,11 @@
 	s.usage.recordOutcome(time.Now(), id, ok)
 }
 
+// hasFullBurst reports whether a new limiter would allow no more than the present one.
+func (st *endpointStats) hasFullBurst(now time.Time) bool {
+	return st.limiter == nil || st.limiter.TokensAt(now) >= float64(st.limiter.Burst())
+}
+
 // usageReport returns the report of the local usage for the kernel, or false if
 // none is due.
 func (s *Server) usageReport(now time.Time) (kernel.LocalUsageReported, bool) {
@@ -196,7 +201,7 @@
 		st.decay(now)
 		if u := st.toWire(now, id); st.requests > 0 || st.tokens > 0 || u.Bad > 0 {
 			report.Uses = append(report.Uses, u)
-		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) {
+		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) {
 			delete(s.usage.endpoints, id)
 		}
 	}
@@ -277,9 +282,8 @@
 }
 
 // usableEndpoints returns the considered endpoints of a version, or of any version if that
-// is nil, that are neither leaving, nor in
-// avoid, nor take no requests from this node now: those that are not in backoff or, if all are, those
-// in backoff. The mutex is held.
+// is nil, that are neither leaving, nor in avoid, and take requests from this node now:
+// those that are not in backoff or, if all are, those in backoff. The mutex is held.
 func (s *Server) usableEndpoints(now time.Time, view *fleet.View, service string, version *string, avoid []string) []fleet.Endpoint {
 	var ready, inBackoff []fleet.Endpoint
 	for _, e := range s.consideredEndpoints(view, service, version) {
