Lift a rate limit only by a response that ran

A refusal or a failure that names no limit lifted it, and all nodes sent requests freely until the next response that named it: 20 calls in 4 s, allowed 17 (TestServerNamesARateLimit/refusals_name_none failed before).

--- a/entry/call.go
+++ b/entry/call.go
@@ -175,6 +175,11 @@
 	v := s.cfg.Dialect.Verdict(a, resp.Status, resp.Header)
 	if !v.AddressReused {
 		s.heedNotice(now, a.Endpoint, notice{leaving: v.Leaving, retryAfter: v.RetryAfter})
+	}
+	// Refusals and failures may come from a part of the endpoint that knows no limit, so
+	// they do not lift one.
+	ran := !v.NotRun && resp.Status < http.StatusInternalServerError
+	if !v.AddressReused && !v.OtherRequest && (v.RateLimit != "" || ran) {
 		s.heedRateLimit(a.Endpoint, v.RateLimit, sentAt)
 	}
 	switch {
