--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	minRateLimit  = 0.25        // requests a second that are sent even to an endpoint that takes fewer, as only its responses tell when the limit ends
-	minRateChange = 0.1         // smallest change of a limit, as a fraction of it, that is worth a message
-	burstTime     = time.Second // all nodes together may send the requests of this time at once,
-	burstSlack    = 2.5         // and so many more
+	minRateLimit  = 0.25 // requests a second that are sent even to an endpoint that takes fewer, as only its responses tell when the limit ends
+	minRateChange = 0.1  // smallest change of a limit, as a fraction of it, that is worth a message
+	// All nodes together may send the requests of burstTime and burstSlack more at once. That
+	// is half of the excess that is tolerated in any 4 s.
+	burstTime    = time.Second
+	burstSlack   = 2.5
+	maxRateBurst = 1 << 20 // requests at once of a node, at an endpoint that names an enormous limit
 )
 
 // rateLimit is what an endpoint last said of the requests that it takes from all nodes
@@ -99,9 +102,6 @@
 	return RateShare{Rate: rate / float64(sharers), Burst: int(min(burst/float64(sharers), maxRateBurst))}
 }
 
-// maxRateBurst bounds the burst of an endpoint that names an enormous limit.
-const maxRateBurst = 1 << 20
-
 // sharersOf returns the nodes that may send requests to an endpoint with a rate limit: the
 // load group that prefers it, or all members if there is none in its data centre. It
 // returns nil if that is another group than the given one, this node's.
