Send a node that has just started the whole roster at once

A node that ended and started again before others noticed learned of the other members only with the next full exchange, up to 3 s later. Meanwhile it took itself for the only member: it used a rate limit alone, and had nobody to tell of the streams that it began. A Ping whose digest covers only its sender's own record now gets all records.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -131,6 +131,21 @@
 	qt.Assert(t, ok, qt.IsTrue)
 }
 
+// TestRestartedNodeLearnsMembersAtOnce checks that a node that has ended and started again
+// before others noticed does not wait for the next full exchange.
+func TestRestartedNodeLearnsMembersAtOnce(t *testing.T) {
+	for _, nodes := range []int{4, 64} {
+		n := joined(t, nodes)
+		n.Run(5 * time.Second)
+		for range 3 {
+			n.Kill(2)
+			n.Restart(2)
+			ok := n.RunUntil(time.Second, 10*time.Millisecond, func() bool { return len(member.Of(n.State(2)).Owners()) == nodes })
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%d nodes, %d known", nodes, len(member.Of(n.State(2)).Owners())))
+		}
+	}
+}
+
 // TestDataCentreLost checks that the other nodes agree when a whole data centre dies
 // at once.
 func TestDataCentreLost(t *testing.T) {
--- a/member/step.go
+++ b/member/step.go
@@ -342,7 +342,7 @@
 	_, known := d.peers[from]
 	d.learnAll(p.GetNews())
 	ack := &wire.Ack{Seq: p.GetSeq(), Roster: d.digest, News: d.suspicionOf(from)}
-	if !known || d.needsSync(from, p.GetRoster()) {
+	if !known || knowsOnlyItself(from, p) || d.needsSync(from, p.GetRoster()) {
 		ack.News = d.allMembers()
 	}
 	d.send(from, &wire.Frame{Body: &wire.Frame_Ack{Ack: ack}})
@@ -367,6 +367,14 @@
 	}
 }
 
+// knowsOnlyItself reports whether the sender of a Ping knows no other member: it has just
+// started.
+func knowsOnlyItself(from string, p *wire.Ping) bool {
+	return slices.ContainsFunc(p.GetNews(), func(m *wire.Member) bool {
+		return m.GetId() == from && hashRecord(m) == p.GetRoster()
+	})
+}
+
 // suspicionOf returns the record of a member from which a message has come although
 // it is not listed as alive. The member is sent the record so that it can refute it.
 func (d *draft) suspicionOf(from string) []*wire.Member {
