Tell and ask again of streams until a node has joined

It now tells and asks again as it learns of others, for 3 s after its start. TestRestartedNodeKnowsNoOther failed before.

--- a/entry/resume.go
+++ b/entry/resume.go
@@ -12,9 +12,9 @@
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
-// originTimeout is how long the other nodes are asked which version began a stream.
-// An answer takes a few milliseconds; a caller that is refused comes back.
-const originTimeout = 250 * time.Millisecond
+// originTimeout bounds the time in which the kernel finds out which version began a stream.
+// It takes a few milliseconds, unless this node has just started or others do not answer.
+const originTimeout = 1500 * time.Millisecond
 
 // pinResumed pins a generation that the caller takes up again to the software version
 // that began its stream. It returns an error if the stream cannot go on.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -12,11 +12,14 @@
 // Invariants:
 //   - A record never changes: the version of a stream is that of its first event.
 //   - A record is kept for at least originTTL at each holder that does not end.
-//   - Each OriginAsked leads to at most one OriginFound. The asker sets the time limit.
+//   - Each OriginAsked leads to one OriginFound, after joinAskTTL at the latest.
+//   - What a node begins or asks before it has joined is told or asked again as it learns of
+//     other nodes.
 package origin
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -27,10 +30,12 @@
 )
 
 const (
-	originTTL  = time.Minute // for which a record is kept at least; streams last up to two thirds of it
-	askTTL     = time.Second // for which the answers to a question are awaited
-	holders    = 3           // nodes that are told of a stream
-	askedNodes = 2 * holders // nodes that are asked, as the members may have changed meanwhile
+	originTTL  = time.Minute            // for which a record is kept at least; streams last up to two thirds of it
+	holders    = 3                      // nodes that are told of a stream
+	askedNodes = 2 * holders            // nodes that are asked, as the members may have changed meanwhile
+	askTTL     = 200 * time.Millisecond // for which the answers to a question are awaited
+	joinTime   = 3 * time.Second        // after the start of a node in which it may not know all members yet
+	joinAskTTL = time.Second            // askTTL of a node in this time
 )
 
 var handle kernel.Handle[*View]
@@ -62,7 +67,8 @@
 
 // ask is a question that is not answered yet.
 type ask struct {
-	unanswered int // nodes that have not answered
+	request    string // id of the request that brought the first event
+	unanswered int    // nodes that have been asked and have not answered
 	expiresAt  time.Time
 }
 
@@ -73,6 +79,14 @@
 	older     *records       // learned in the originTTL before
 	rotatedAt time.Time      // when recent became older
 	asks      map[string]ask // by id
+	startedAt time.Time      // first Tick; zero before
+	early     []*wire.Began  // streams that this node began before it had joined
+	owners    int            // members that may be holders, at the last Tick
+}
+
+// joined reports whether this node has run for joinTime.
+func (v *View) joined(now time.Time) bool {
+	return !v.startedAt.IsZero() && now.Sub(v.startedAt) >= joinTime
 }
 
 // Len returns the number of records that this node holds.
@@ -89,10 +103,9 @@
 	v := Of(s)
 	switch e := e.(type) {
 	case kernel.Tick:
-		return v.expire(now), nil
+		return v.tick(now, member.Of(s))
 	case kernel.StreamBegan:
-		began := &wire.Began{Request: e.Request, Service: e.Service, Version: e.Version}
-		return v.withRecord(began), sendTo(member.Of(s), owner.Top(e.Request, holders, member.Of(s).Owners()), &wire.Frame{Body: &wire.Frame_Began{Began: began}})
+		return v.begin(now, member.Of(s), &wire.Began{Request: e.Request, Service: e.Service, Version: e.Version})
 	case kernel.OriginAsked:
 		return v.ask(now, member.Of(s), e)
 	case kernel.FrameReceived:
@@ -104,7 +117,7 @@
 			found := &wire.Found{Ask: body.Seek.GetAsk(), Known: known, Service: r.service, Version: r.version}
 			return v, []kernel.Effect{kernel.Send{To: e.From, Frame: &wire.Frame{Body: &wire.Frame_Found{Found: found}}}}
 		case *wire.Frame_Found:
-			return v.answer(body.Found)
+			return v.answer(now, body.Found)
 		}
 	}
 	return v, nil
@@ -131,31 +144,52 @@
 	return &next
 }
 
+// tell returns the effects that tell the holders of a stream.
+func tell(m *member.View, b *wire.Began) []kernel.Effect {
+	return sendTo(m, owner.Top(b.GetRequest(), holders, m.Owners()), &wire.Frame{Body: &wire.Frame_Began{Began: b}})
+}
+
+// begin records a stream of this node and tells its holders.
+func (v *View) begin(now time.Time, m *member.View, b *wire.Began) (*View, []kernel.Effect) {
+	next := *v.withRecord(b)
+	if !v.joined(now) {
+		next.early = append(slices.Clip(v.early), b)
+	}
+	return &next, tell(m, b)
+}
+
+// seek returns the effects that ask other nodes a question.
+func seek(m *member.View, id, request string) []kernel.Effect {
+	return sendTo(m, owner.Top(request, askedNodes, m.Owners()), &wire.Frame{Body: &wire.Frame_Seek{Seek: &wire.Seek{Ask: id, Request: request}}})
+}
+
 // ask answers a question from this node's own records, or asks other nodes.
 func (v *View) ask(now time.Time, m *member.View, e kernel.OriginAsked) (*View, []kernel.Effect) {
 	if r, known := v.get(e.Request); known {
 		return v, []kernel.Effect{kernel.OriginFound{Ask: e.Ask, Known: true, Service: r.service, Version: r.version}}
 	}
-	seek := &wire.Seek{Ask: e.Ask, Request: e.Request}
-	effects := sendTo(m, owner.Top(e.Request, askedNodes, m.Owners()), &wire.Frame{Body: &wire.Frame_Seek{Seek: seek}})
-	if len(effects) == 0 {
+	effects, ttl := seek(m, e.Ask, e.Request), askTTL
+	if !v.joined(now) {
+		ttl = joinAskTTL
+	} else if len(effects) == 0 {
 		return v, []kernel.Effect{kernel.OriginFound{Ask: e.Ask}}
 	}
 	next := *v
 	next.asks = kernel.CloneMap(v.asks)
-	next.asks[e.Ask] = ask{unanswered: len(effects), expiresAt: now.Add(askTTL)}
+	next.asks[e.Ask] = ask{request: e.Request, unanswered: len(effects), expiresAt: now.Add(ttl)}
 	return &next, effects
 }
 
-// answer handles the answer of one node to a question.
-func (v *View) answer(f *wire.Found) (*View, []kernel.Effect) {
+// answer handles the answer of one node to a question. That no node knows the stream is
+// final only if this node has joined.
+func (v *View) answer(now time.Time, f *wire.Found) (*View, []kernel.Effect) {
 	a, waiting := v.asks[f.GetAsk()]
 	if !waiting {
 		return v, nil
 	}
 	next := *v
 	next.asks = kernel.CloneMap(v.asks)
-	if a.unanswered--; !f.GetKnown() && a.unanswered > 0 {
+	if a.unanswered--; !f.GetKnown() && (a.unanswered > 0 || !v.joined(now)) {
 		next.asks[f.GetAsk()] = a
 		return &next, nil
 	}
@@ -163,18 +197,41 @@
 	return &next, []kernel.Effect{kernel.OriginFound{Ask: f.GetAsk(), Known: f.GetKnown(), Service: f.GetService(), Version: f.GetVersion()}}
 }
 
-// expire drops the records that were learned more than two originTTLs ago, and the
-// questions whose time is over.
-func (v *View) expire(now time.Time) *View {
+// tick drops the records that were learned more than two originTTLs ago and answers the
+// questions whose time is over. Until the node has joined, it also tells and asks again
+// when it has learned of other nodes.
+func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
 	next := *v
+	var effects []kernel.Effect
+	if v.startedAt.IsZero() {
+		next.startedAt = now
+	}
 	if now.Sub(v.rotatedAt) >= originTTL {
 		next.recent, next.older, next.rotatedAt = newRecords(), v.recent, now
 	}
-	for id, a := range v.asks {
-		if !now.Before(a.expiresAt) {
-			next.asks = maps.Clone(next.asks)
+	joined := next.joined(now)
+	next.owners = len(m.Owners())
+	again := !joined && next.owners != v.owners
+	if again {
+		for _, b := range v.early {
+			effects = append(effects, tell(m, b)...)
+		}
+	}
+	if joined {
+		next.early = nil
+	}
+	if len(v.asks) > 0 {
+		next.asks = maps.Clone(v.asks)
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.asks)) {
+		a := v.asks[id]
+		switch {
+		case !now.Before(a.expiresAt):
 			delete(next.asks, id)
+			effects = append(effects, kernel.OriginFound{Ask: id})
+		case again:
+			effects = append(effects, seek(m, id, a.request)...)
 		}
 	}
-	return &next
+	return &next, effects
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -14,7 +14,9 @@
 
 const (
 	joinTimeout = 20 * time.Second
-	askTime     = 20 * time.Millisecond // in which a question is answered
+	settleTime  = 3 * time.Second         // from the start of a node until it takes the members that it knows for all
+	askTime     = 20 * time.Millisecond   // in which a question is answered
+	aloneTime   = 1500 * time.Millisecond // in which a node that knows no other answers itself
 )
 
 // network is a simulated network that collects the answers to questions.
@@ -40,6 +42,7 @@
 		return true
 	})
 	qt.Assert(t, joined, qt.IsTrue)
+	n.Run(settleTime)
 	return n
 }
 
@@ -112,13 +115,38 @@
 	qt.Assert(t, origin.Of(n.State(0)).Len(), qt.Equals, 0)
 }
 
-// TestOriginUnknown checks that a question about a stream that nobody knows is answered,
-// also by a node that knows no other.
+// TestOriginUnknown checks that a question about a stream that nobody knows is answered.
 func TestOriginUnknown(t *testing.T) {
-	for _, nodes := range []int{1, 4} {
-		n := newNetwork(t, nodes)
-		qt.Assert(t, n.ask(t, 0, "r").Known, qt.IsFalse)
+	n := newNetwork(t, 4)
+	qt.Assert(t, n.ask(t, 0, "r").Known, qt.IsFalse)
+}
+
+// TestRestartedNodeKnowsNoOther checks that streams which a node begins before it knows any
+// other are known after its end, and that it asks others as soon as it knows them.
+func TestRestartedNodeKnowsNoOther(t *testing.T) {
+	for _, nodes := range []int{4, 24} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			n := newNetwork(t, nodes)
+			n.begin(1, "before")
+			n.Run(10 * time.Millisecond)
+			n.Kill(0)
+			n.Restart(0)
+			n.begin(0, "after")
+			n.Step(0, kernel.OriginAsked{Ask: "early", Request: "before"})
+			n.Run(2 * time.Second)
+			qt.Assert(t, n.found["early"].Known, qt.IsTrue)
+			n.Kill(0)
+			n.assertKnown(t, 2, "after")
+		})
 	}
+	t.Run("alone", func(t *testing.T) {
+		n := newNetwork(t, 1)
+		n.Step(0, kernel.OriginAsked{Ask: "alone", Request: "r"})
+		n.Run(aloneTime)
+		found, ok := n.found["alone"]
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, found.Known, qt.IsFalse)
+	})
 }
 
 // TestFirstOriginCounts checks that a stream keeps the version of its first event.
