Await all answers to a question that is asked again

A node that had just started and learned of others shortly before it had joined counted only those that it asked first, so that the first of the others which did not know the stream settled the question. TestAskAgainAwaitsAllAnswers failed before.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -230,7 +230,10 @@
 			delete(next.asks, id)
 			effects = append(effects, kernel.OriginFound{Ask: id})
 		case again:
-			effects = append(effects, seek(m, id, a.request)...)
+			seeks := seek(m, id, a.request)
+			a.unanswered += len(seeks)
+			next.asks[id] = a
+			effects = append(effects, seeks...)
 		}
 	}
 	return &next, effects
