--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,7 +59,7 @@
 	MaxOutputTokens      int           // of a generation
 	ExpectedOutputTokens int           // output tokens that the caller expects; zero if not stated
 	LastEventID          string        // id of the last event that the caller has received
-	ResumedID            string        // ID of the request that brought the caller the first event of the stream; empty if this one may
+	ResumedID            string        // ID of the request that brought the caller the first event of the stream; empty if the caller has none
 	Arrived              time.Time
 
 	events       int       // of a stream, sent to the caller
@@ -121,7 +121,7 @@
 	Final   bool      // it will not serve again before it has started again, whatever the store says
 	GoneAt  time.Time // when it will be gone; zero if it does not say
 	// RateLimit is the number of requests a second that the engine takes from all nodes
-	// together; empty if it names no limit.
+	// together; empty if it states no limit.
 	RateLimit string
 }
 
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -26,7 +26,7 @@
 	return fmt.Sprintf("rate limit %q is not a number of requests a second; it is ignored", e.Text)
 }
 
-// parseRateLimit returns the rate, in requests a second, that an endpoint names.
+// parseRateLimit returns the rate, in requests a second, that an endpoint states.
 func parseRateLimit(text string) (float64, error) {
 	r, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(r) || math.IsInf(r, 0) || r < 0 {
@@ -35,7 +35,7 @@
 	return r, nil
 }
 
-// heedRateLimit tells the kernel of the rate limit that an endpoint named in its response
+// heedRateLimit tells the kernel of the rate limit that an endpoint stated in its response
 // to a request sent at sentAt, if that is new. An empty text stands for no limit.
 func (s *Server) heedRateLimit(e fleet.Endpoint, text string, sentAt time.Time) {
 	report := kernel.LimitReported{Endpoint: e.ID, StartMillis: e.StartMillis, Named: text != "", SentAt: sentAt}
@@ -104,8 +104,7 @@
 }
 
 // takeCall reports whether an endpoint takes a call from this node now, and counts the
-// call. Every call but those of reserveEndpoint, which counts them itself, goes through
-// it.
+// call. Calls that are reserved with a choice are counted by usageTracker.takeCall then.
 func (s *Server) takeCall(now time.Time, id string) bool {
 	view := s.view()
 	s.mu.Lock()
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -16,14 +16,14 @@
 
 const (
 	limitWindow   = 4 * time.Second        // any span of which is judged
-	toldGrace     = 500 * time.Millisecond // from the first response to a node that names a limit until its requests count
+	toldGrace     = 500 * time.Millisecond // from the first response to a node that states a limit until its requests count
 	simStep       = 10 * time.Millisecond
 	responseTime  = 300 * time.Millisecond
 	liftTime      = 10 * time.Second // in which an endpoint that takes 0.5 requests a second gets some
 	memberTimeout = 10 * time.Second // until nodes agree on the members again
 )
 
-// allowedRequests returns how many requests an endpoint that names a limit may get in any
+// allowedRequests returns how many requests an endpoint that states a limit may get in any
 // limitWindow.
 func allowedRequests(limit float64) float64 { return 1.5*limit*limitWindow.Seconds() + 5 }
 
@@ -34,7 +34,7 @@
 }
 
 // limitSim simulates the nodes of a network that place requests on endpoints, some of
-// which name a limit.
+// which state a limit.
 type limitSim struct {
 	*simnet.Network
 	servers  []*Server
@@ -44,7 +44,7 @@
 	arrivals map[string][]arrival
 	rejected int
 	started  map[int]time.Time      // when each node was restarted last
-	told     []map[string]time.Time // when each node first got a response that names a limit since its start, by endpoint
+	told     []map[string]time.Time // when each node first got a response that states a limit since its start, by endpoint
 }
 
 func newLimitSim(t *testing.T, nodes, engines int, demand float64) *limitSim {
@@ -116,7 +116,7 @@
 	sim.told[node], sim.started[node] = map[string]time.Time{}, sim.Now()
 }
 
-// assertLimitsKept checks the arrivals at the endpoints that name a limit, from nodes that
+// assertLimitsKept checks the arrivals at the endpoints that state a limit, from nodes that
 // they have told.
 func (sim *limitSim) assertLimitsKept(t *testing.T) {
 	t.Helper()
@@ -142,9 +142,9 @@
 	return n
 }
 
-// TestRateLimitAcrossNodes replays endpoints in need: all nodes together keep the limits,
+// TestRateLimitAcrossNodes replays overloaded endpoints: all nodes together keep the limits,
 // also while nodes are restarted, and use at least half of what the endpoints take when
-// all of them name a limit.
+// all of them state a limit.
 func TestRateLimitAcrossNodes(t *testing.T) {
 	for _, size := range []struct{ nodes, engines int }{{4, 3}, {24, 6}, {77, 12}} {
 		for _, limited := range []int{1, size.engines} {
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -20,7 +20,7 @@
 	// is half of the excess that is tolerated in any 4 s.
 	burstTime    = time.Second
 	burstSlack   = 2.5
-	maxRateBurst = 1 << 20 // requests at once of a node, at an endpoint that names an enormous limit
+	maxRateBurst = 1 << 20 // requests at once of a node, at an endpoint that states an enormous limit
 )
 
 // rateLimit is what an endpoint last said of the requests that it takes from all nodes
@@ -28,7 +28,7 @@
 type rateLimit struct {
 	startMillis int64     // start of the endpoint's process
 	number      uint32    // of the change; a higher one replaces a lower one
-	lifted      bool      // the endpoint named a limit and names none any more
+	lifted      bool      // the endpoint stated a limit and states none any more
 	rate        float64   // requests a second; 0 if lifted
 	receivedAt  time.Time // when this node learned of it
 }
@@ -88,7 +88,7 @@
 }
 
 // shareOf divides a limit among the nodes that may send requests to an endpoint. Load
-// pattern: an endpoint in need takes a few requests a second, while tens of nodes place
+// pattern: an overloaded endpoint takes a few requests a second, while tens of nodes place
 // requests. A share of less than a request in the time for which a burst is judged cannot
 // be kept, so only as many nodes as a burst may have requests get one, those with the
 // highest rank for the endpoint.
@@ -146,7 +146,7 @@
 	v.limits = kernel.CloneMap(v.limits)
 	v.limits[id] = l
 	v.divideLimits(m)
-	detail := fmt.Sprintf("change %d by %s: it names no limit any more", l.number, source)
+	detail := fmt.Sprintf("change %d by %s: it states no limit any more", l.number, source)
 	if !l.lifted {
 		share := v.shares[id]
 		detail = fmt.Sprintf("change %d by %s: it takes %g requests a second from all nodes together, %.2f a second and %d at once from this one", l.number, source, l.rate, share.Rate, share.Burst)
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -116,7 +116,7 @@
 
 // statusMessage returns a Usage without uses. It says which endpoints reported
 // that they are leaving, each with the time left in milliseconds plus 1, or 0 if
-// that is unknown, which rate limits endpoints have named, and when the store last
+// that is unknown, which rate limits endpoints have stated, and when the store last
 // responded to this node.
 func (v *View) statusMessage(now time.Time) *wire.Usage {
 	u := &wire.Usage{Contact: v.contactAge(now)}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -136,12 +136,12 @@
 	GoneAt      time.Time // when the endpoint will be gone; zero if unknown
 }
 
-// LimitReported reports the rate limit that an endpoint named to this node in a response,
-// or that it named none.
+// LimitReported reports the rate limit that an endpoint stated to this node in a response,
+// or that it stated none.
 type LimitReported struct {
 	Endpoint    string
 	StartMillis int64     // start of the endpoint's process, Unix milliseconds
-	Named       bool      // whether the response named a limit
+	Named       bool      // whether the response stated a limit
 	Rate        float64   // requests a second that the endpoint takes from all nodes together
 	SentAt      time.Time // when the request was sent to which the endpoint responded
 }
