--- a/entry/resume.go
+++ b/entry/resume.go
@@ -23,24 +23,34 @@
 	ctx, cancel := context.WithTimeout(g.ctx, originTimeout)
 	defer cancel()
 	origin := s.cfg.Daemon.FindOrigin(ctx, rr.req.ResumedID)
-	view := s.view()
+	svc, version, err := resumePoint(time.Now(), s.view(), rr, origin)
+	if err != nil {
+		return err.WithRetryAfter(s.addJitter(unavailableRetryAfter))
+	}
+	rr.service, g.version = svc, &version
+	return nil
+}
+
+// resumePoint returns the service and the software version at which a stream goes on that
+// its caller takes up again, or an error if there is none. Load pattern: during a release,
+// callers of nodes and engines that end come back to nodes that have not seen their streams,
+// and most engines run another version than those that began them.
+func resumePoint(now time.Time, view *fleet.View, rr *routedRequest, origin kernel.OriginFound) (*table.Service, string, *apierr.Error) {
 	if !origin.Known {
-		version, sole := view.SoleVersion(time.Now(), rr.service.Name)
+		version, sole := view.SoleVersion(now, rr.service.Name)
 		if !sole {
-			return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "it is not known which version of %q began the stream", rr.service.Name).WithRetryAfter(s.addJitter(unavailableRetryAfter))
+			return nil, "", apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "it is not known which version of %q began the stream", rr.service.Name)
 		}
-		g.version = &version
-		return nil
+		return rr.service, version, nil
 	}
-	if origin.Service != rr.service.Name {
-		svc, ok := view.Table().Service(origin.Service)
-		if !ok || !slices.ContainsFunc(rr.route.Shares, func(sh table.Share) bool { return sh.Service == origin.Service }) {
-			return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "the stream began at service %q, which route %q no longer names", origin.Service, rr.route.Name).WithRetryAfter(s.addJitter(unavailableRetryAfter))
-		}
-		rr.service = svc
+	if origin.Service == rr.service.Name {
+		return rr.service, origin.Version, nil
 	}
-	g.version = &origin.Version
-	return nil
+	svc, ok := view.Table().Service(origin.Service)
+	if !ok || !slices.ContainsFunc(rr.route.Shares, func(sh table.Share) bool { return sh.Service == origin.Service }) {
+		return nil, "", apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "the stream began at service %q, which route %q no longer names", origin.Service, rr.route.Name)
+	}
+	return svc, origin.Version, nil
 }
 
 // pin pins a generation to the version of the engine that makes its first event. The
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -136,14 +136,7 @@
 
 // sendUsage sends a Usage to each of the nodes except this one.
 func sendUsage(m *member.View, nodes []string, u *wire.Usage) []kernel.Effect {
-	frame := &wire.Frame{Body: &wire.Frame_Usage{Usage: u}}
-	var effects []kernel.Effect
-	for _, id := range nodes {
-		if id != m.Self().GetId() {
-			effects = append(effects, kernel.Send{To: id, Frame: frame})
-		}
-	}
-	return effects
+	return m.SendTo(nodes, &wire.Frame{Body: &wire.Frame_Usage{Usage: u}})
 }
 
 // mergeUsage stores the usage that another node sent, either in full or as changes
--- a/member/member.go
+++ b/member/member.go
@@ -140,6 +140,17 @@
 	return list
 }
 
+// SendTo returns the effects that send a frame to each of the nodes except this one.
+func (v *View) SendTo(nodes []string, f *wire.Frame) []kernel.Effect {
+	var effects []kernel.Effect
+	for _, id := range nodes {
+		if id != v.self.GetId() {
+			effects = append(effects, kernel.Send{To: id, Frame: f})
+		}
+	}
+	return effects
+}
+
 // UsableIDs returns the sorted ids of the usable members, those on hold included.
 func (v *View) UsableIDs() []string {
 	var ids []string
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -123,17 +123,6 @@
 	return v, nil
 }
 
-// sendTo sends a frame to each of the nodes except this one.
-func sendTo(m *member.View, nodes []string, f *wire.Frame) []kernel.Effect {
-	var effects []kernel.Effect
-	for _, id := range nodes {
-		if id != m.Self().GetId() {
-			effects = append(effects, kernel.Send{To: id, Frame: f})
-		}
-	}
-	return effects
-}
-
 // withRecord returns the view with the record of a stream, unless it has one.
 func (v *View) withRecord(b *wire.Began) *View {
 	if _, known := v.get(b.GetRequest()); known {
@@ -146,7 +135,7 @@
 
 // tell returns the effects that tell the holders of a stream.
 func tell(m *member.View, b *wire.Began) []kernel.Effect {
-	return sendTo(m, owner.Top(b.GetRequest(), holders, m.Owners()), &wire.Frame{Body: &wire.Frame_Began{Began: b}})
+	return m.SendTo(owner.Top(b.GetRequest(), holders, m.Owners()), &wire.Frame{Body: &wire.Frame_Began{Began: b}})
 }
 
 // begin records a stream of this node and tells its holders.
@@ -160,7 +149,7 @@
 
 // seek returns the effects that ask other nodes a question.
 func seek(m *member.View, id, request string) []kernel.Effect {
-	return sendTo(m, owner.Top(request, askedNodes, m.Owners()), &wire.Frame{Body: &wire.Frame_Seek{Seek: &wire.Seek{Ask: id, Request: request}}})
+	return m.SendTo(owner.Top(request, askedNodes, m.Owners()), &wire.Frame{Body: &wire.Frame_Seek{Seek: &wire.Seek{Ask: id, Request: request}}})
 }
 
 // ask answers a question from this node's own records, or asks other nodes.
