Plan an evacuation from the events that the mutex guards

The race detector could fail the platform tests: writeEvent counts the events of a generation in a field of its own goroutine, which copyCandidate read for the plan of an evacuation. The plan now reads the counts of the segment, which recordEvent changes under the mutex.

TestEvacuationDuringEvents reports the race on the code before (DATA RACE in writeEvent and copyCandidate) and passes.

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -146,13 +146,14 @@
 }
 
 // copyCandidate describes the generation for the plan of an evacuation. Its copy
-// grows with the prompt and the tokens generated so far.
+// grows with the prompt and the tokens generated so far. The mutex is held.
 func (g *generation) copyCandidate() move.CopyCandidate {
 	e := g.routed.service.Engine
 	if e == nil || e.LinkMbps <= 0 {
 		return move.CopyCandidate{}
 	}
-	bits := float64(g.routed.req.PromptTokens+g.events*max(e.TokensPerEvent, 1)) * float64(e.TokenBytes) * 8
+	events := g.current.eventsBefore + g.current.events
+	bits := float64(g.routed.req.PromptTokens+events*max(e.TokensPerEvent, 1)) * float64(e.TokenBytes) * 8
 	return move.CopyCandidate{Tokens: g.tokens, CopyTime: time.Duration(bits / e.LinkMbps * float64(time.Microsecond))}
 }
 
