Log the parts of prompts and the crashes of endpoints

Lines of the kind place now name the parts. When a connection breaks before a request had any output, the node checks whether anything still listens at the endpoint's address, and logs a crash with the request and its parts if not. Lines of the kind stream-broke say how many events the engine had sent.

--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/wait"
+)
+
+const (
+	crashCheckDelay   = 10 * time.Millisecond // in which all connections to a process that has ended break
+	crashCheckGap     = 40 * time.Millisecond // between the checks, as the listener may close after the connections
+	crashChecks       = 2
+	crashCheckTimeout = 300 * time.Millisecond
+)
+
+// crashCheck finds out whether an endpoint whose connections broke has crashed.
+type crashCheck struct {
+	endpoint fleet.Endpoint
+	lost     []*routedRequest // of this node, which ran there without any output
+}
+
+// checkCrash starts a check whether an endpoint has crashed, after the connection of a
+// request broke before it had any output, or adds the request to the check that runs. An
+// endpoint that is leaving ends as planned, so it is not checked.
+func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
+	var lost *relay.LostError
+	if ctx.Err() != nil || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, running := s.crashChecks[e.ID]; running {
+		c.lost = append(c.lost, rr)
+		return
+	}
+	if s.closed {
+		return
+	}
+	s.crashChecks[e.ID] = &crashCheck{endpoint: e, lost: []*routedRequest{rr}}
+	s.tasks.Go(func() { s.runCrashCheck(context.WithoutCancel(ctx), e) })
+}
+
+// runCrashCheck reports an endpoint as crashed if nothing listens at its address any more.
+func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
+	wait.For(ctx, crashCheckDelay)
+	ended := false
+	for i := 0; i < crashChecks && !ended; i++ {
+		if i > 0 {
+			wait.For(ctx, crashCheckGap)
+		}
+		ended = s.cfg.Relay.IsClosed(ctx, e.Addr, crashCheckTimeout)
+	}
+	s.mu.Lock()
+	c := s.crashChecks[e.ID]
+	delete(s.crashChecks, e.ID)
+	s.mu.Unlock()
+	if !ended {
+		return
+	}
+	s.metrics.crashes.Inc()
+	for _, rr := range c.lost {
+		s.record("crash", rr.req, e.ID, fmt.Sprintf("the endpoint has crashed while it ran the request, which had no output yet; parts of its prompt: %s", strings.Join(rr.req.PromptParts, ",")))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,7 @@
 	APIKey               string        // empty if the caller sent none
 	CallerTimeout        time.Duration // how long the caller waits for the response; zero if not stated
 	PromptTokens         int           // of a generation
+	PromptParts          []string      // of a generation: ids of the parts of its prompt, in order
 	MaxOutputTokens      int           // of a generation
 	ExpectedOutputTokens int           // output tokens that the caller expects; zero if not stated
 	LastEventID          string        // id of the last event that the caller has received
@@ -169,6 +171,7 @@
 	metrics         *serverMetrics
 	retryLimiters   map[string]*retry.Limiter // by service
 	generations     map[*generation]bool      // those in flight
+	crashChecks     map[string]*crashCheck    // those that run, by endpoint
 	tasks           sync.WaitGroup            // probes and evacuations in the background
 	closed          bool                      // no more tasks are started
 	active          int                       // requests in flight
@@ -185,6 +188,7 @@
 		usage:         newUsageTracker(),
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
+		crashChecks:   map[string]*crashCheck{},
 	}
 	s.metrics = newServerMetrics(cfg.Daemon.Metrics(), s)
 	return s
@@ -251,9 +255,13 @@
 // recordPlacement records which endpoint a request is sent to, and the load and
 // failures by which it was chosen.
 func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate) {
-	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: fmt.Sprintf(
+	detail := fmt.Sprintf(
 		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint runs version %s and has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
-		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)})
+		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)
+	if len(rr.req.PromptParts) > 0 {
+		detail += "; parts of the prompt: " + strings.Join(rr.req.PromptParts, ",")
+	}
+	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: detail})
 }
 
 func (s *Server) serve(ctx context.Context, req *Request, out ResponseWriter) *apierr.Error {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -18,6 +18,7 @@
 	brokenStreams *metrics.Counter
 	rests         *metrics.Counter
 	limits        *metrics.Counter
+	crashes       *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -44,6 +45,7 @@
 		retriesDenied: set.GetOrCreateCounter("plantaindeck_repeats_denied_total"),
 		rests:         set.GetOrCreateCounter("plantaindeck_endpoint_rests_total"),
 		limits:        set.GetOrCreateCounter("plantaindeck_endpoint_limits_total"),
+		crashes:       set.GetOrCreateCounter("plantaindeck_endpoint_crashes_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -212,6 +212,7 @@
 		g.routed.mayHaveRun = true
 	}
 	g.server.record("attempt-failed", g.routed.req, g.endpoint.ID, err.Error())
+	g.checkCrash(err)
 	return errors.Is(g.ctx.Err(), context.Canceled)
 }
 
@@ -326,5 +327,14 @@
 		return
 	}
 	s.recordFailure(g.ctx, g.endpoint, g.lastErr)
-	s.record("stream-broke", g.routed.req, g.endpoint.ID, err.Error())
+	s.record("stream-broke", g.routed.req, g.endpoint.ID, fmt.Sprintf("after %d events from this engine: %v", seg.events, err))
+	g.checkCrash(g.lastErr)
+}
+
+// checkCrash checks whether the engine has crashed that lost the generation, unless the
+// generation has had output.
+func (g *generation) checkCrash(err error) {
+	if g.events == 0 && g.routed.req.LastEventID == "" {
+		g.server.checkCrash(g.ctx, g.routed, g.endpoint, err)
+	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,6 +84,17 @@
 	return resp, nil
 }
 
+// IsClosed reports whether nothing listens at an address, as after the end of the process
+// that did.
+func (c *Client) IsClosed(ctx context.Context, addr string, timeout time.Duration) bool {
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // roundTrip writes the request and reads the header of the response at the same
 // time, as an endpoint may respond before it has read a long body.
 func roundTrip(conn net.Conn, r Request) (*Response, error) {
