Quarantine parts of prompts that crash engines, at all nodes

The cause: what a request did to an engine was known to nobody after its response. The class: a trait that many requests share decides what they do to endpoints, and no node sees more than its own part of the crashes.

When an engine has crashed, each node tells all others the parts of the prompts of its requests that had no output yet. A part that explains three crashes (five, if less than half of those in the time) is quarantined: no node sends such requests, on any path, as the context of each ends, which also takes those away that wait at engines. They are rejected at once, as not run if they were not sent. Output clears the parts of a prompt. Parts of which output is known need further output by others since the first crash, so that an outage convicts nobody, and traits that cannot be told apart wait for another crash. Nodes that start later learn of quarantines from their neighbours.

--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -44,6 +44,7 @@
 	CodeOverload     Code = "overload"     // the request was shed
 	CodeDeadline     Code = "deadline"     // no endpoint became free, or no response arrived, in time
 	CodeUnavailable  Code = "unavailable"  // a node, endpoint or service cannot be used now
+	CodeQuarantined  Code = "quarantined"  // requests like this one crash endpoints
 	CodeLost         Code = "lost"         // the response was lost
 	CodeInternal     Code = "internal"     // the program itself failed
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,7 @@
 	_ "github.com/plantaindeck/plantaindeck/fleet"
 	_ "github.com/plantaindeck/plantaindeck/member"
 	_ "github.com/plantaindeck/plantaindeck/origin"
+	_ "github.com/plantaindeck/plantaindeck/poison"
 	_ "github.com/plantaindeck/plantaindeck/route"
 )
 
@@ -57,6 +58,9 @@
 	// OnEndpointLeaving is called when the kernel learns that an endpoint is leaving or gone.
 	// The time goneAt is zero if it is not known. OnEndpointLeaving may be nil.
 	OnEndpointLeaving func(endpoint string, goneAt time.Time)
+	// OnQuarantine is called when requests with all of the given traits are quarantined. It
+	// may be nil.
+	OnQuarantine func(traits []uint64)
 }
 
 // Daemon drives the kernel of one node.
@@ -243,6 +247,10 @@
 		if d.cfg.OnEndpointLeaving != nil {
 			d.cfg.OnEndpointLeaving(f.Endpoint, f.GoneAt)
 		}
+	case kernel.NotifyQuarantine:
+		if d.cfg.OnQuarantine != nil {
+			d.cfg.OnQuarantine(f.Traits)
+		}
 	case kernel.Raise:
 		// Step handles these itself and never returns them.
 	}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/wait"
 )
@@ -67,7 +68,12 @@
 		return
 	}
 	s.metrics.crashes.Inc()
+	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
 	for _, rr := range c.lost {
+		if len(rr.traits) > 0 {
+			report.Requests = append(report.Requests, rr.traits)
+		}
 		s.record("crash", rr.req, e.ID, fmt.Sprintf("the endpoint has crashed while it ran the request, which had no output yet; parts of its prompt: %s", strings.Join(rr.req.PromptParts, ",")))
 	}
+	s.cfg.Daemon.Post(ctx, report)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -169,15 +169,16 @@
 	rand            *rand.Rand
 	usage           *usageTracker
 	metrics         *serverMetrics
-	retryLimiters   map[string]*retry.Limiter // by service
-	generations     map[*generation]bool      // those in flight
-	crashChecks     map[string]*crashCheck    // those that run, by endpoint
-	tasks           sync.WaitGroup            // probes and evacuations in the background
-	closed          bool                      // no more tasks are started
-	active          int                       // requests in flight
-	lastProbe       time.Time                 // used by Run only
-	stopDeadline    time.Time                 // when every response must have ended; zero while not stopping
-	lateAcceptUntil time.Time                 // until then a stopping node accepts long requests if no other node serves
+	retryLimiters   map[string]*retry.Limiter                  // by service
+	generations     map[*generation]bool                       // those in flight
+	crashChecks     map[string]*crashCheck                     // those that run, by endpoint
+	withoutOutput   map[*routedRequest]context.CancelCauseFunc // requests in flight that have had no output; the function ends the request
+	tasks           sync.WaitGroup                             // probes and evacuations in the background
+	closed          bool                                       // no more tasks are started
+	active          int                                        // requests in flight
+	lastProbe       time.Time                                  // used by Run only
+	stopDeadline    time.Time                                  // when every response must have ended; zero while not stopping
+	lateAcceptUntil time.Time                                  // until then a stopping node accepts long requests if no other node serves
 }
 
 // New returns a server.
@@ -189,6 +190,7 @@
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
 		crashChecks:   map[string]*crashCheck{},
+		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 	}
 	s.metrics = newServerMetrics(cfg.Daemon.Metrics(), s)
 	return s
@@ -275,6 +277,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, rr.deadline)
 	defer cancel()
+	ctx, end, fail := s.admit(ctx, rr)
+	if fail != nil {
+		return fail
+	}
+	defer end()
 	s.retryLimiter(rr.service.Name).AddRequest(req.Arrived)
 	if rr.route.Kind == table.KindStream {
 		fail = s.serveStream(ctx, rr, out)
@@ -345,6 +352,10 @@
 func (s *Server) finalError(ctx context.Context, rr *routedRequest, cause error) *apierr.Error {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
+	case !rr.mayHaveRun && wasAborted(ctx):
+		return quarantineError(max(s.quarantined(time.Now(), rr), 0))
+	case wasAborted(ctx):
+		return apierr.Unknown(http.StatusBadGateway, apierr.CodeQuarantined, "%v", errQuarantined)
 	case !rr.mayHaveRun && expired:
 		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeDeadline, "no endpoint of %q accepted the request in time", rr.service.Name).WithRetryAfter(timeoutRetryAfter)
 	case !rr.mayHaveRun:
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/poison"
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
@@ -19,6 +20,7 @@
 	rests         *metrics.Counter
 	limits        *metrics.Counter
 	crashes       *metrics.Counter
+	quarantined   *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -39,6 +41,7 @@
 		return time.Since(s.view().LastStoreContact()).Seconds()
 	})
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
+	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
 	return &serverMetrics{
 		set:           set,
 		retries:       set.GetOrCreateCounter("plantaindeck_repeats_total"),
@@ -46,6 +49,7 @@
 		rests:         set.GetOrCreateCounter("plantaindeck_endpoint_rests_total"),
 		limits:        set.GetOrCreateCounter("plantaindeck_endpoint_limits_total"),
 		crashes:       set.GetOrCreateCounter("plantaindeck_endpoint_crashes_total"),
+		quarantined:   set.GetOrCreateCounter("plantaindeck_quarantined_requests_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- /dev/null
+++ b/entry/poison.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/poison"
+)
+
+// minSoundEvents is the number of events from one engine that show that it doesn't crash when
+// it begins to answer a generation: the first may leave an engine that is about to crash.
+const minSoundEvents = 2
+
+// errQuarantined ends the context of a request that must not reach an endpoint any more.
+var errQuarantined = errors.New("requests like this one crash endpoints")
+
+// traitsOf returns what a request may have in common with others that crash endpoints: the
+// parts of its prompt but the last, which is its own.
+func traitsOf(req *Request) []uint64 {
+	var traits []uint64
+	for i := 0; i+1 < len(req.PromptParts); i++ {
+		traits = append(traits, xxhash.Sum64String("part "+req.PromptParts[i]))
+	}
+	return traits
+}
+
+// admit adds a request to those that a quarantine ends, or returns an error if it is
+// quarantined already. Every attempt of the request, whatever it continues from, uses the
+// context that it returns, which ends when the request is quarantined. The caller calls the
+// returned function when the request has ended.
+func (s *Server) admit(ctx context.Context, rr *routedRequest) (context.Context, func(), *apierr.Error) {
+	if len(rr.traits) == 0 {
+		return ctx, func() {}, nil
+	}
+	ctx, abort := context.WithCancelCause(ctx)
+	s.mu.Lock()
+	s.withoutOutput[rr] = abort
+	s.mu.Unlock()
+	end := func() {
+		s.mu.Lock()
+		delete(s.withoutOutput, rr)
+		s.mu.Unlock()
+		abort(nil)
+	}
+	if left := s.quarantined(time.Now(), rr); left > 0 {
+		end()
+		s.metrics.quarantined.Inc()
+		return nil, nil, quarantineError(left)
+	}
+	return ctx, end, nil
+}
+
+// quarantined returns how long requests like rr are kept from endpoints.
+func (s *Server) quarantined(now time.Time, rr *routedRequest) time.Duration {
+	state := s.cfg.Daemon.State()
+	return poison.Of(state).Quarantined(now, member.Of(state), rr.traits)
+}
+
+// quarantineError returns the error for a request that has not run, as requests like it are
+// kept from endpoints for the given time.
+func quarantineError(left time.Duration) *apierr.Error {
+	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeQuarantined, "%v", errQuarantined).WithRetryAfter(left)
+}
+
+// Quarantine ends the requests that have all of the given traits and no output yet, so that
+// those that wait at an endpoint leave it before it crashes.
+func (s *Server) Quarantine(traits []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for rr, abort := range s.withoutOutput {
+		if containsAll(rr.traits, traits) {
+			abort(errQuarantined)
+		}
+	}
+}
+
+// containsAll reports whether list holds all of the traits.
+func containsAll(list, traits []uint64) bool {
+	held := map[uint64]bool{}
+	for _, t := range list {
+		held[t] = true
+	}
+	for _, t := range traits {
+		if !held[t] {
+			return false
+		}
+	}
+	return true
+}
+
+// reportOutput tells the kernel that a request has had output, which shows that requests like
+// it crash no endpoints.
+func (s *Server) reportOutput(rr *routedRequest) {
+	s.mu.Lock()
+	_, first := s.withoutOutput[rr]
+	delete(s.withoutOutput, rr)
+	s.mu.Unlock()
+	if first {
+		s.cfg.Daemon.Post(context.Background(), kernel.OutputSeen{Traits: rr.traits})
+	}
+}
+
+// wasAborted reports whether a quarantine has ended the context of a request.
+func wasAborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errQuarantined) }
+
+// callerGone reports whether the context of a request ended because its caller has gone.
+func callerGone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !wasAborted(ctx)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -28,6 +28,7 @@
 	deadline     time.Time
 	mayHaveRun   bool     // an endpoint may have run the request
 	tried        []string // ids of the endpoints that attempts were made at
+	traits       []uint64 // by which the request is known if it crashes endpoints
 }
 
 // routeRequest finds the route, the workspace of the key, the service and the
@@ -40,7 +41,7 @@
 	if !ok {
 		return nil, apierr.NotRun(http.StatusNotFound, apierr.CodeNotFound, "no route for host %q and path %q", req.Host, req.Path)
 	}
-	rr := &routedRequest{req: req, route: route, tableVersion: t.Version(), priority: route.Priority}
+	rr := &routedRequest{req: req, route: route, tableVersion: t.Version(), priority: route.Priority, traits: traitsOf(req)}
 	if t.NeedsKey(route) {
 		w, ok := t.Identify(req.APIKey)
 		if !ok {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -213,7 +213,7 @@
 	}
 	g.server.record("attempt-failed", g.routed.req, g.endpoint.ID, err.Error())
 	g.checkCrash(err)
-	return errors.Is(g.ctx.Err(), context.Canceled)
+	return callerGone(g.ctx)
 }
 
 // reserveBackup chooses the engine that keeps a copy of the generation, and adds the
@@ -265,6 +265,9 @@
 		if err == nil {
 			g.recordEvent(seg)
 		}
+		if err == nil && seg.events == minSoundEvents || errors.Is(err, io.EOF) && !resp.UntilClose {
+			s.reportOutput(g.routed)
+		}
 		if err == nil || errors.Is(err, io.EOF) && !g.headerSent {
 			if writeErr := g.writeEvent(event); writeErr != nil {
 				g.out.Abort()
@@ -277,7 +280,7 @@
 		}
 		if err != nil {
 			g.handleBreak(seg, err)
-			return errors.Is(g.ctx.Err(), context.Canceled)
+			return callerGone(g.ctx)
 		}
 	}
 }
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -89,6 +89,11 @@
 	Version string // of the software of the endpoint that made the first event
 }
 
+// NotifyQuarantine tells the driver that requests with all of these traits are quarantined.
+type NotifyQuarantine struct {
+	Traits []uint64
+}
+
 // Record adds an entry to the node's trace.
 type Record struct {
 	Kind      string // short name of what happened, such as "grant"
@@ -98,13 +103,14 @@
 	Detail    string
 }
 
-func (Send) isEffect()          {}
-func (Raise) isEffect()         {}
-func (Grant) isEffect()         {}
-func (Reject) isEffect()        {}
-func (ReadDocuments) isEffect() {}
-func (AdoptDocument) isEffect() {}
-func (WatchLoad) isEffect()     {}
-func (NotifyLeaving) isEffect() {}
-func (OriginFound) isEffect()   {}
-func (Record) isEffect()        {}
+func (Send) isEffect()             {}
+func (Raise) isEffect()            {}
+func (Grant) isEffect()            {}
+func (Reject) isEffect()           {}
+func (ReadDocuments) isEffect()    {}
+func (AdoptDocument) isEffect()    {}
+func (WatchLoad) isEffect()        {}
+func (NotifyLeaving) isEffect()    {}
+func (OriginFound) isEffect()      {}
+func (NotifyQuarantine) isEffect() {}
+func (Record) isEffect()           {}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -160,6 +160,19 @@
 	Request string // as in StreamBegan
 }
 
+// EndpointCrashed reports that an endpoint has crashed while requests of this node ran there.
+type EndpointCrashed struct {
+	Endpoint    string
+	Service     string
+	StartMillis int64      // start of the process that crashed, Unix milliseconds
+	Requests    [][]uint64 // traits of the requests that had no output yet
+}
+
+// OutputSeen reports that a request has had output.
+type OutputSeen struct {
+	Traits []uint64 // of the request
+}
+
 // Stopping reports that this node has been asked to stop.
 type Stopping struct{}
 
@@ -180,4 +193,6 @@
 func (LimitReported) isEvent()      {}
 func (StreamBegan) isEvent()        {}
 func (OriginAsked) isEvent()        {}
+func (EndpointCrashed) isEvent()    {}
+func (OutputSeen) isEvent()         {}
 func (Stopping) isEvent()           {}
--- /dev/null
+++ b/poison/culprit.go
@@ -0,0 +1,139 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	minCrashes   = 3                      // that a quarantine must explain if that is half of those in the time
+	minScattered = 5                      // that it must explain otherwise, as endpoints crash for other causes then
+	minSpan      = 200 * time.Millisecond // between the first and the last of them, as an outage ends many endpoints at once
+	// Requests without the trait that must have had output since its first crash, which shows
+	// that endpoints answer: of a trait that is established, and of any at a node that has just
+	// started.
+	minOutputsEstablished = 5
+	minOutputsJoining     = 2
+)
+
+// evidence is what a node knows of crashes.
+type evidence struct {
+	crashes       []crash
+	outputs       int                 // requests that have had output at this node
+	isEstablished func(t uint64) bool // reports whether requests with a trait have had output lately
+	joining       bool                // the node has just started and may not know that
+}
+
+// culprits returns the sets of traits that explain crashes which the known sets do not.
+// A set explains a crash if a request that ran there has all of its traits; the other traits
+// of the crash are then not suspected of it.
+func culprits(e evidence, known []traitSet) []traitSet {
+	var found []traitSet
+	for {
+		set, ok := e.bestExplanation(append(slices.Clip(known), found...))
+		if !ok {
+			return found
+		}
+		found = append(found, set)
+	}
+}
+
+// bestExplanation returns the set that explains most crashes, some of which the known sets do
+// not. Traits that no request has together and that occur in the same crashes cannot be told
+// apart: neither is returned, nor any that occurs in some of these crashes only, until another
+// crash tells.
+func (e evidence) bestExplanation(known []traitSet) (traitSet, bool) {
+	occurrences, unexplained := countOccurrences(e.crashes, known)
+	byCrashes := map[uint64][]uint64{} // traits by the set of crashes in which they occur, bit i for crashes[i]
+	for t, mask := range occurrences {
+		if mask&unexplained != 0 && e.suffices(t, mask) {
+			byCrashes[mask] = append(byCrashes[mask], t)
+		}
+	}
+	masks := slices.SortedFunc(maps.Keys(byCrashes), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(bits.OnesCount64(b), bits.OnesCount64(a)), cmp.Compare(a, b))
+	})
+	var ambiguous []uint64
+	for _, mask := range masks {
+		set := newTraitSet(byCrashes[mask])
+		switch {
+		case slices.ContainsFunc(ambiguous, func(other uint64) bool { return mask&^other == 0 }):
+		case occurTogether(e.crashes, mask, set):
+			return set, true
+		default:
+			ambiguous = append(ambiguous, mask)
+		}
+	}
+	return "", false
+}
+
+// countOccurrences returns the crashes in which each trait is suspected, and those that no
+// known set explains, as bits.
+func countOccurrences(crashes []crash, known []traitSet) (occurrences map[uint64]uint64, unexplained uint64) {
+	occurrences = map[uint64]uint64{}
+	for i, c := range crashes {
+		bit := uint64(1) << i
+		var explaining []traitSet
+		for _, set := range known {
+			if slices.ContainsFunc(c.requests, set.within) {
+				explaining = append(explaining, set)
+			}
+		}
+		if len(explaining) == 0 {
+			unexplained |= bit
+		}
+		for _, r := range c.requests {
+			for _, t := range r {
+				if len(explaining) == 0 || slices.ContainsFunc(explaining, func(s traitSet) bool { return s.hasAny([]uint64{t}) }) {
+					occurrences[t] |= bit
+				}
+			}
+		}
+	}
+	return occurrences, unexplained
+}
+
+// occurTogether reports whether in each of the crashes a request has all traits of a set.
+func occurTogether(crashes []crash, mask uint64, set traitSet) bool {
+	for i, c := range crashes {
+		if mask&(1<<i) != 0 && !slices.ContainsFunc(c.requests, set.within) {
+			return false
+		}
+	}
+	return true
+}
+
+// suffices reports whether the crashes in which a trait occurs are enough to quarantine it.
+// Load pattern: while many endpoints crash for other causes, requests are lost on several of
+// them by chance, those with a trait that most requests have on all of them.
+func (e evidence) suffices(t, mask uint64) bool {
+	first, last := bits.TrailingZeros64(mask), 63-bits.LeadingZeros64(mask)
+	if e.crashes[last].at.Sub(e.crashes[first].at) < minSpan {
+		return false
+	}
+	services := map[string]bool{}
+	for i, c := range e.crashes {
+		services[c.service] = services[c.service] || mask&(1<<i) != 0
+	}
+	between := 0 // crashes of the same services in the time
+	for _, c := range e.crashes[first : last+1] {
+		if services[c.service] {
+			between++
+		}
+	}
+	n := bits.OnesCount64(mask)
+	if n < minCrashes || 2*n < between && n < minScattered {
+		return false
+	}
+	outputs := e.outputs - e.crashes[first].outputs
+	switch {
+	case e.isEstablished(t):
+		return outputs >= minOutputsEstablished
+	case e.joining:
+		return outputs >= minOutputsJoining
+	}
+	return true
+}
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,314 @@
+// Package poison finds out which requests crash the endpoints that run them, and keeps
+// requests like them from endpoints.
+//
+// It is a plug-in of the kernel. It knows a request by its traits, hashes of what others may
+// have in common with it, such as the parts of its prompt. When an endpoint crashes, each node
+// tells all others the traits of its requests that ran there and had no output yet. What the
+// requests of several crashes share is quarantined: each node rejects requests that have it.
+// Output clears the traits of a request, as those that crash endpoints never have any.
+//
+// Load pattern: requests that are alike in one trait only come at all nodes. Each crashes the
+// engine that runs it, which takes the requests of other callers with it, and several engines
+// crash within a second. Sound requests share the other traits. Meanwhile engines crash for
+// other causes too, alone or many at once.
+//
+// Invariants:
+//   - A trait is suspected of a crash only if a request with it ran there without output, and no
+//     request with it has had output since.
+//   - A process of an endpoint crashes once, however many nodes report it.
+//   - Of the traits that explain the same crashes, none is quarantined alone: a quarantine
+//     holds all of those that one request has, and concerns requests that have them all.
+//   - The memory is bounded by maxCrashes, maxRequests, maxTraits, maxQuarantines and
+//     maxEstablished.
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+const (
+	establishedTTL = time.Minute            // for which a trait is established at least after output
+	joinTime       = 5 * time.Second        // after the start of a node in which it may not know which traits are established
+	judgeInterval  = 500 * time.Millisecond // between two judgements without a new crash
+	crashTTL       = 5 * time.Minute        // for which a crash is evidence
+	gossipInterval = time.Second            // between two messages with the quarantines to a neighbour
+	maxCrashes     = 64                     // that are evidence; older ones are dropped
+	maxRequests    = 64                     // of one crash
+	maxTraits      = 32                     // of one request
+	maxEstablished = 1 << 14                // traits that had output in one establishedTTL
+)
+
+var handle kernel.Handle[*View]
+
+func init() {
+	handle = kernel.Register(kernel.Plugin[*View]{
+		Name: "poison",
+		Rank: 35,
+		Init: func(kernel.Config) *View { return &View{recent: newTraits(), older: newTraits()} },
+		Step: step,
+	})
+}
+
+// Of returns the View in s.
+func Of(s kernel.State) *View {
+	return handle.Of(s)
+}
+
+// traitMap is a set of traits.
+type traitMap = immutable.Map[uint64, struct{}]
+
+func newTraits() *traitMap { return immutable.NewMap[uint64, struct{}](nil) }
+
+// View is the state of the plug-in: the crashes that are evidence, the quarantines, and the
+// traits that had output lately. It is immutable.
+type View struct {
+	crashes     []crash // oldest first
+	quarantines quarantines
+	startedAt   time.Time // first Tick; zero before
+	outputs     int       // requests that have had output at this node
+	recent      *traitMap // had output at this node since rotatedAt
+	older       *traitMap // had output at this node in the establishedTTL before
+	rotatedAt   time.Time // when recent became older
+	gossipAt    time.Time // when the neighbours were last told the quarantines
+	judgedAt    time.Time // when the evidence was last judged
+}
+
+// crash is the end of an endpoint's process while requests without output ran there.
+type crash struct {
+	endpoint    string
+	service     string
+	startMillis int64 // start of the process
+	at          time.Time
+	outputs     int        // requests that had had output at this node before
+	requests    [][]uint64 // suspected traits of each request
+}
+
+func step(now time.Time, s kernel.State, e kernel.Event) (*View, []kernel.Effect) {
+	v, m := Of(s), member.Of(s)
+	switch e := e.(type) {
+	case kernel.Tick:
+		return v.tick(now, m)
+	case kernel.EndpointCrashed:
+		if len(e.Requests) == 0 {
+			return v, nil
+		}
+		report := bounded(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests})
+		next, effects := v.addCrash(now, report)
+		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
+	case kernel.OutputSeen:
+		next, cleared, effects := v.withOutput(e.Traits).clear(e.Traits)
+		if len(cleared) > 0 {
+			effects = append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: cleared}}})...)
+		}
+		return next, effects
+	case kernel.FrameReceived:
+		switch body := e.Frame.GetBody().(type) {
+		case *wire.Frame_Crash:
+			return v.addCrash(now, decodeCrash(body.Crash))
+		case *wire.Frame_Sound:
+			next, _, effects := v.clear(body.Sound.GetTraits())
+			return next, effects
+		case *wire.Frame_Quarantines:
+			return v.merge(now, body.Quarantines.GetList())
+		}
+	}
+	return v, nil
+}
+
+// tick judges and drops old evidence, and tells the neighbours of the quarantines.
+func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
+	next := *v
+	if v.startedAt.IsZero() {
+		next.startedAt = now
+	}
+	if now.Sub(v.rotatedAt) >= establishedTTL {
+		next.recent, next.older, next.rotatedAt = newTraits(), v.recent, now
+	}
+	if len(v.crashes) > 0 && now.Sub(v.crashes[0].at) >= crashTTL {
+		next.crashes = v.crashes[1:]
+	}
+	var effects []kernel.Effect
+	if len(next.crashes) > 0 && now.Sub(v.judgedAt) >= judgeInterval {
+		effects = next.judge(now, nil)
+	}
+	if len(next.quarantines) > 0 && now.Sub(v.gossipAt) >= gossipInterval {
+		next.gossipAt = now
+		next.quarantines = next.quarantines.without(now)
+		effects = append(effects, m.SendTo(m.Neighbours(), &wire.Frame{Body: &wire.Frame_Quarantines{Quarantines: next.quarantines.wire(now)}})...)
+	}
+	return &next, effects
+}
+
+// withOutput returns the view after a request with the given traits had output at this node.
+func (v *View) withOutput(traits []uint64) *View {
+	next := *v
+	next.outputs++
+	for _, t := range traits {
+		if next.recent.Len() < maxEstablished {
+			next.recent = next.recent.Set(t, struct{}{})
+		}
+	}
+	return &next
+}
+
+// isEstablished reports whether requests with a trait had output at this node lately.
+func (v *View) isEstablished(t uint64) bool {
+	if _, ok := v.recent.Get(t); ok {
+		return true
+	}
+	_, ok := v.older.Get(t)
+	return ok
+}
+
+// bounded returns a report with at most maxRequests requests and maxTraits traits of each.
+func bounded(c crash) crash {
+	var list [][]uint64
+	for _, traits := range c.requests[:min(len(c.requests), maxRequests)] {
+		list = append(list, traits[:min(len(traits), maxTraits)])
+	}
+	c.requests = list
+	return c
+}
+
+// addCrash adds what one node reports of a crash, and quarantines what the evidence shows.
+func (v *View) addCrash(now time.Time, report crash) (*View, []kernel.Effect) {
+	next := *v
+	report.at, report.outputs = now, v.outputs
+	next.crashes = slices.Clone(v.crashes)
+	i := slices.IndexFunc(next.crashes, func(c crash) bool {
+		return c.endpoint == report.endpoint && c.startMillis == report.startMillis
+	})
+	switch {
+	case i >= 0:
+		room := max(maxRequests-len(next.crashes[i].requests), 0)
+		next.crashes[i].requests = append(slices.Clip(next.crashes[i].requests), report.requests[:min(len(report.requests), room)]...)
+	default:
+		next.crashes = append(next.crashes, report)
+		if len(next.crashes) > maxCrashes {
+			next.crashes = next.crashes[1:]
+		}
+	}
+	return &next, next.judge(now, report.requests)
+}
+
+// judge quarantines what the evidence shows, and those of the given requests whose quarantine
+// has ended: they have just been on an endpoint that crashed.
+func (v *View) judge(now time.Time, crashed [][]uint64) []kernel.Effect {
+	v.judgedAt = now
+	found := v.quarantines.relapsed(now, crashed)
+	e := evidence{
+		crashes:       v.crashes,
+		outputs:       v.outputs,
+		isEstablished: v.isEstablished,
+		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
+	}
+	found = append(found, culprits(e, append(v.quarantines.active(now), found...))...)
+	var effects []kernel.Effect
+	for _, set := range found {
+		q := v.quarantines.next(now, set)
+		v.quarantines = v.quarantines.with(set, q)
+		effects = append(effects, notify(now, set, q, fmt.Sprintf("requests with it ran without output on endpoints that crashed, one of them %s", v.crashes[len(v.crashes)-1].endpoint))...)
+	}
+	return effects
+}
+
+// clear drops the suspicion of traits of a request that had output, and lifts the
+// quarantines that name them. It returns the traits that were suspected.
+func (v *View) clear(traits []uint64) (*View, []uint64, []kernel.Effect) {
+	var cleared []uint64
+	for _, t := range traits {
+		if v.suspects(t) {
+			cleared = append(cleared, t)
+		}
+	}
+	if len(cleared) == 0 {
+		return v, nil, nil
+	}
+	next := *v
+	next.crashes = nil
+	for _, c := range v.crashes {
+		var requests [][]uint64
+		for _, r := range c.requests {
+			requests = append(requests, slices.DeleteFunc(slices.Clone(r), func(t uint64) bool { return slices.Contains(cleared, t) }))
+		}
+		c.requests = requests
+		next.crashes = append(next.crashes, c)
+	}
+	var effects []kernel.Effect
+	for set, q := range v.quarantines.sorted() {
+		if q.lifted || !set.hasAny(cleared) {
+			continue
+		}
+		lifted := q
+		lifted.lifted = true
+		next.quarantines = next.quarantines.with(set, lifted)
+		effects = append(effects, kernel.Record{Kind: "quarantine-lifted", Detail: fmt.Sprintf("requests with a trait of %s have had output", set)})
+		if rest := set.minus(cleared); rest != "" {
+			if _, known := next.quarantines[rest]; !known {
+				next.quarantines = next.quarantines.with(rest, q)
+			}
+		}
+	}
+	return &next, cleared, effects
+}
+
+// suspects reports whether a crash or a quarantine names a trait.
+func (v *View) suspects(t uint64) bool {
+	for set, q := range v.quarantines {
+		if !q.lifted && set.hasAny([]uint64{t}) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(v.crashes, func(c crash) bool {
+		return slices.ContainsFunc(c.requests, func(r []uint64) bool { return slices.Contains(r, t) })
+	})
+}
+
+// merge stores the quarantines of another node that are newer than those of this one.
+func (v *View) merge(now time.Time, list []*wire.Quarantine) (*View, []kernel.Effect) {
+	next := *v
+	var effects []kernel.Effect
+	for _, w := range list {
+		set, q := decodeQuarantine(now, w)
+		if set == "" || !q.replaces(next.quarantines[set]) {
+			continue
+		}
+		wasActive := next.quarantines[set].isActive(now)
+		next.quarantines = next.quarantines.with(set, q)
+		if q.isActive(now) && !wasActive {
+			effects = append(effects, notify(now, set, q, "another node said so")...)
+		}
+	}
+	return &next, effects
+}
+
+// notify returns the effects that tell of a quarantine that has begun.
+func notify(now time.Time, set traitSet, q quarantine, why string) []kernel.Effect {
+	return []kernel.Effect{
+		kernel.Record{Kind: "quarantine", Detail: fmt.Sprintf("number %d of %s, for %s: %s", q.number, set, q.until.Sub(now).Round(time.Second), why)},
+		kernel.NotifyQuarantine{Traits: set.traits()},
+	}
+}
+
+func (c crash) wire() *wire.Crash {
+	w := &wire.Crash{Endpoint: c.endpoint, Service: c.service, Born: c.startMillis}
+	for _, traits := range c.requests {
+		w.Requests = append(w.Requests, &wire.Traits{Traits: traits})
+	}
+	return w
+}
+
+func decodeCrash(w *wire.Crash) crash {
+	c := crash{endpoint: w.GetEndpoint(), service: w.GetService(), startMillis: w.GetBorn()}
+	for _, r := range w.GetRequests() {
+		c.requests = append(c.requests, r.GetTraits())
+	}
+	return bounded(c)
+}
--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,215 @@
+package poison_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/poison"
+	"github.com/plantaindeck/plantaindeck/simnet"
+)
+
+const (
+	joinTimeout = 20 * time.Second
+	settleTime  = 6 * time.Second        // from the start of a node until it trusts that it knows members and traits
+	spreadTime  = 20 * time.Millisecond  // in which a message reaches all nodes
+	gossipTime  = 4 * time.Second        // in which a node that has just started learns of a quarantine
+	crashGap    = 150 * time.Millisecond // between two crashes
+)
+
+// Traits of the requests in tests.
+const (
+	popular uint64 = 1 + iota // of most requests
+	rare
+	bad   // crashes endpoints
+	other = 1000
+)
+
+// network is a simulated network that collects the quarantines of which drivers were told.
+type network struct {
+	*simnet.Network
+	nodes    int
+	crashes  int
+	notified map[int][][]uint64 // by node
+}
+
+func newNetwork(t *testing.T, nodes int) *network {
+	n := &network{nodes: nodes, notified: map[int][][]uint64{}}
+	n.Network = simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(node int, _ time.Time, f kernel.Effect) []kernel.Event {
+		if q, ok := f.(kernel.NotifyQuarantine); ok {
+			n.notified[node] = append(n.notified[node], q.Traits)
+		}
+		return nil
+	}})
+	n.awaitMembers(t)
+	return n
+}
+
+// awaitMembers waits until all nodes know each other.
+func (n *network) awaitMembers(t *testing.T) {
+	t.Helper()
+	joined := n.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
+		for i := range n.nodes {
+			if len(member.Of(n.State(i)).Owners()) != n.nodes {
+				return false
+			}
+		}
+		return true
+	})
+	qt.Assert(t, joined, qt.IsTrue)
+	n.Run(settleTime)
+}
+
+// crash reports at a node that an endpoint crashed under its requests, each with the given
+// traits, and lets the news spread.
+func (n *network) crash(node int, requests ...[]uint64) {
+	n.crashes++
+	n.Step(node, kernel.EndpointCrashed{Endpoint: fmt.Sprint("i-", n.crashes), StartMillis: 7, Requests: requests})
+	n.Run(crashGap)
+}
+
+// quarantined returns the number of nodes at which requests with the traits are quarantined.
+func (n *network) quarantined(traits ...uint64) int {
+	count := 0
+	for i := range n.nodes {
+		if poison.Of(n.State(i)).Quarantined(n.Now(), member.Of(n.State(i)), traits) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// TestQuarantineReachesAllNodes replays requests with one trait in common that crash
+// endpoints, each at another node, and checks that all nodes quarantine them after the
+// third crash, at any size of the deployment, and nodes that start later too.
+func TestQuarantineReachesAllNodes(t *testing.T) {
+	for _, nodes := range []int{1, 4, 24, 100} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			n := newNetwork(t, nodes)
+			for i := range 3 {
+				qt.Assert(t, n.quarantined(popular, bad), qt.Equals, 0)
+				n.Step((i+1)%nodes, kernel.OutputSeen{Traits: []uint64{popular, rare}})
+				n.crash(i%nodes, []uint64{popular, bad}, []uint64{popular, other + uint64(i)})
+			}
+			qt.Assert(t, n.quarantined(popular, bad), qt.Equals, nodes)
+			qt.Assert(t, n.quarantined(popular, rare), qt.Equals, 0)
+			for i := range nodes {
+				qt.Assert(t, n.notified[i], qt.DeepEquals, [][]uint64{{bad}})
+			}
+			if nodes == 1 {
+				return
+			}
+			n.Kill(0)
+			n.Run(time.Second)
+			n.Restart(0)
+			n.Run(gossipTime)
+			qt.Assert(t, n.quarantined(popular, bad), qt.Equals, nodes)
+		})
+	}
+}
+
+// TestReportsOfOneCrash checks that a crash that several nodes report counts once.
+func TestReportsOfOneCrash(t *testing.T) {
+	n := newNetwork(t, 4)
+	for i := range 4 {
+		n.Step(i, kernel.EndpointCrashed{Endpoint: "i-1", StartMillis: 7, Requests: [][]uint64{{bad}}})
+		n.Run(crashGap)
+	}
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 0)
+	n.Step(0, kernel.EndpointCrashed{Endpoint: "i-1", StartMillis: 8, Requests: [][]uint64{{bad}}})
+	n.Run(crashGap)
+	n.Step(0, kernel.EndpointCrashed{Endpoint: "i-2", StartMillis: 8, Requests: [][]uint64{{bad}}})
+	n.Run(crashGap)
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
+}
+
+// TestOutputClearsTraits checks that output at one node clears the traits of its request at
+// all nodes, before and after they were quarantined.
+func TestOutputClearsTraits(t *testing.T) {
+	t.Run("before", func(t *testing.T) {
+		n := newNetwork(t, 4)
+		for i := range 10 {
+			n.crash(i%4, []uint64{rare})
+			n.Step((i+2)%4, kernel.OutputSeen{Traits: []uint64{rare}})
+			n.Run(3 * time.Second) // the output is no longer recent at the next crash
+		}
+		qt.Assert(t, n.quarantined(rare), qt.Equals, 0)
+		qt.Assert(t, n.notified, qt.HasLen, 0)
+	})
+	t.Run("after", func(t *testing.T) {
+		n := newNetwork(t, 4)
+		for i := range 3 {
+			n.crash(i, []uint64{rare, bad})
+		}
+		qt.Assert(t, n.quarantined(rare, bad), qt.Equals, 4)
+		qt.Assert(t, n.quarantined(bad), qt.Equals, 0)
+		n.Step(3, kernel.OutputSeen{Traits: []uint64{rare}})
+		n.Run(spreadTime)
+		qt.Assert(t, n.quarantined(rare), qt.Equals, 0)
+		qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
+		n.Step(0, kernel.OutputSeen{Traits: []uint64{bad}})
+		n.Run(gossipTime)
+		qt.Assert(t, n.quarantined(rare, bad), qt.Equals, 0)
+	})
+	t.Run("shortly before a crash", func(t *testing.T) {
+		n := newNetwork(t, 4)
+		for i := range 4 {
+			n.Step(i, kernel.OutputSeen{Traits: []uint64{popular}})
+		}
+		for i := range 6 {
+			n.crash(i%4, []uint64{popular})
+		}
+		qt.Assert(t, n.quarantined(popular), qt.Equals, 0)
+	})
+}
+
+// TestOutageQuarantinesNothing replays the end of many endpoints at the same moment, and
+// endpoints that go down and up by turns, while requests run there that share a part.
+func TestOutageQuarantinesNothing(t *testing.T) {
+	n := newNetwork(t, 4)
+	r := rand.New(rand.NewPCG(3, 3))
+	for i := range 4 {
+		n.Step(i, kernel.OutputSeen{Traits: []uint64{popular}})
+	}
+	requests := func() [][]uint64 {
+		var list [][]uint64
+		for range 1 + r.IntN(4) {
+			list = append(list, []uint64{popular, other + r.Uint64N(300)})
+		}
+		return list
+	}
+	for range 12 {
+		n.crashes++
+		n.Step(r.IntN(4), kernel.EndpointCrashed{Endpoint: fmt.Sprint("i-", n.crashes), StartMillis: 7, Requests: requests()})
+	}
+	n.Run(time.Second)
+	for range 40 {
+		for range 6 {
+			n.Step(r.IntN(4), kernel.OutputSeen{Traits: []uint64{popular, other + r.Uint64N(300)}})
+		}
+		n.crash(r.IntN(4), requests()...)
+	}
+	qt.Assert(t, n.notified, qt.HasLen, 0)
+}
+
+// TestQuarantineEnds checks that after a quarantine one node only sends such requests at
+// first, and that one crash then begins the next, longer one.
+func TestQuarantineEnds(t *testing.T) {
+	n := newNetwork(t, 4)
+	for i := range 3 {
+		n.crash(i, []uint64{bad})
+	}
+	left := poison.Of(n.State(0)).Quarantined(n.Now(), member.Of(n.State(0)), []uint64{bad})
+	n.Run(left + time.Second)
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 3)
+	n.Run(20 * time.Second)
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 0)
+	n.crash(2, []uint64{bad, rare})
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
+	again := poison.Of(n.State(0)).Quarantined(n.Now(), member.Of(n.State(0)), []uint64{bad})
+	qt.Assert(t, again > 3*left, qt.IsTrue, qt.Commentf("%s after %s", again, left))
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,8 +40,11 @@
 	Status int
 	Header http.Header
 	Length int64 // bytes of the body; -1 if unknown
-	body   io.ReadCloser
-	close  func()
+	// UntilClose says that the body has neither a length nor chunks: it ends when the endpoint
+	// closes the connection, as it also does when its process ends.
+	UntilClose bool
+	body       io.ReadCloser
+	close      func()
 }
 
 // Read implements io.Reader.
@@ -138,7 +141,8 @@
 			continue
 		}
 		limited.N = 1 << 62
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body}, nil
+		untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: untilClose, body: resp.Body}, nil
 	}
 	return nil, errors.New("endpoint sent only interim (1xx) responses")
 }
