Take a stream without an end marker for broken if it has no event

A response may have neither a length nor chunks and end with its connection. If the engine crashed before the first event, the caller got an empty stream that looked complete, and its request could have cleared the part of its prompt that crashed the engine. Such a stream is now lost: it is continued elsewhere where the route allows that, else the caller gets 502. TestUnframedResponse failed in its last two subtests before (status 200) and passes.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -262,6 +262,9 @@
 	events := relay.NewEventReader(resp)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && resp.UntilClose && g.events == 0 && g.lastEventID == "" {
+			err = io.ErrUnexpectedEOF // the end of the engine's process looks the same, and an answer has an event
+		}
 		if err == nil {
 			g.recordEvent(seg)
 		}
