Log a hash of each request, and crashes of plain services

The logs of second1 could not tell whether the requests on the servers that crashed were the same one. Lines of the kinds place and crash now name a hash of the request's target, caller and body, and a crash is looked for when a request to a plain service loses its connection.

--- a/entry/call.go
+++ b/entry/call.go
@@ -55,6 +55,7 @@
 		cause = err
 		if err != nil {
 			s.record("attempt-failed", rr.req, e.ID, err.Error())
+			s.checkCrash(ctx, rr, e, err)
 		}
 		var refused *relay.RefusedError
 		var notSent *relay.NotSentError
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,7 +71,7 @@
 		if len(rr.traits) > 0 {
 			report.Requests = append(report.Requests, rr.traits)
 		}
-		s.record("crash", rr.req, e.ID, fmt.Sprintf("the endpoint has crashed while it ran the request, which had no output yet; parts of its prompt: %s", strings.Join(rr.req.PromptParts, ",")))
+		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request, which had no output yet; "+rr.describeTraits())
 	}
 	s.cfg.Daemon.Post(ctx, report)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -260,9 +259,7 @@
 	detail := fmt.Sprintf(
 		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint runs version %s and has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
 		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)
-	if len(rr.req.PromptParts) > 0 {
-		detail += "; parts of the prompt: " + strings.Join(rr.req.PromptParts, ",")
-	}
+	detail += "; " + rr.describeTraits()
 	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: detail})
 }
 
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +22,26 @@
 // errQuarantined ends the context of a request that must not reach an endpoint any more.
 var errQuarantined = errors.New("requests like this one crash endpoints")
 
+// requestHash returns a hash of a request's target, caller and body, which are the same when
+// the caller sends the request again.
+func requestHash(rr *routedRequest) uint64 {
+	h := xxhash.New()
+	for _, text := range []string{rr.req.Method, rr.req.Host, rr.req.URI, rr.workspace} {
+		_, _ = h.WriteString(text + "\x00") // never fails
+	}
+	_, _ = h.Write(rr.req.Body)
+	return h.Sum64()
+}
+
+// describeTraits describes for the log what a request may have in common with others.
+func (rr *routedRequest) describeTraits() string {
+	text := fmt.Sprintf("hash %016x", rr.hash)
+	if len(rr.req.PromptParts) > 0 {
+		text += ", parts of the prompt: " + strings.Join(rr.req.PromptParts, ",")
+	}
+	return text
+}
+
 // traitsOf returns what a request may have in common with others that crash endpoints: the
 // parts of its prompt but the last, which is its own.
 func traitsOf(req *Request) []uint64 {
--- a/entry/request.go
+++ b/entry/request.go
@@ -28,6 +28,7 @@
 	deadline     time.Time
 	mayHaveRun   bool     // an endpoint may have run the request
 	tried        []string // ids of the endpoints that attempts were made at
+	hash         uint64   // the same for requests that are alike
 	traits       []uint64 // by which the request is known if it crashes endpoints
 }
 
@@ -52,6 +53,7 @@
 			rr.priority = w.Priority
 		}
 	}
+	rr.hash = requestHash(rr)
 	s.mu.Lock()
 	point := s.rand.Float64()
 	stopDeadline, lateAcceptUntil := s.stopDeadline, s.lateAcceptUntil
