Quarantine a request that crashes the servers that run it

The hash of target, caller and body is now a trait of every request, next to the parts of its prompt, and a complete response of a plain service is output. Outputs are counted by service, so that engines that answer say nothing of a service whose servers are all down. Crashes 100 ms apart, in place of 200 ms, count as not simultaneous, as one request can end three servers within 300 ms.

TestRepeatedRequestCrashesServers failed before (54 and 60 such requests reached servers later than 3 s after the third crash, 81 servers crashed) and passes: 6 crashed, and all 339 sound requests that were sent from 6 s after the third crash on were served, 71 of them to the same path. TestOtherCrashesStopNoRequests passes.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -68,9 +68,7 @@
 	s.metrics.crashes.Inc()
 	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
 	for _, rr := range c.lost {
-		if len(rr.traits) > 0 {
-			report.Requests = append(report.Requests, rr.traits)
-		}
+		report.Requests = append(report.Requests, rr.traits)
 		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request, which had no output yet; "+rr.describeTraits())
 	}
 	s.cfg.Daemon.Post(ctx, report)
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -42,12 +42,12 @@
 	return text
 }
 
-// traitsOf returns what a request may have in common with others that crash endpoints: the
-// parts of its prompt but the last, which is its own.
-func traitsOf(req *Request) []uint64 {
-	var traits []uint64
-	for i := 0; i+1 < len(req.PromptParts); i++ {
-		traits = append(traits, xxhash.Sum64String("part "+req.PromptParts[i]))
+// traitsOf returns what a request may have in common with others that crash endpoints: its
+// hash, and the parts of its prompt but the last, which is its own.
+func traitsOf(rr *routedRequest) []uint64 {
+	traits := []uint64{rr.hash}
+	for i := 0; i+1 < len(rr.req.PromptParts); i++ {
+		traits = append(traits, xxhash.Sum64String("part "+rr.req.PromptParts[i]))
 	}
 	return traits
 }
@@ -57,9 +57,6 @@
 // context that it returns, which ends when the request is quarantined. The caller calls the
 // returned function when the request has ended.
 func (s *Server) admit(ctx context.Context, rr *routedRequest) (context.Context, func(), *apierr.Error) {
-	if len(rr.traits) == 0 {
-		return ctx, func() {}, nil
-	}
 	ctx, abort := context.WithCancelCause(ctx)
 	s.mu.Lock()
 	s.withoutOutput[rr] = abort
@@ -124,7 +121,7 @@
 	delete(s.withoutOutput, rr)
 	s.mu.Unlock()
 	if first {
-		s.cfg.Daemon.Post(context.Background(), kernel.OutputSeen{Traits: rr.traits})
+		s.cfg.Daemon.Post(context.Background(), kernel.OutputSeen{Service: rr.service.Name, Traits: rr.traits})
 	}
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -42,7 +42,7 @@
 	if !ok {
 		return nil, apierr.NotRun(http.StatusNotFound, apierr.CodeNotFound, "no route for host %q and path %q", req.Host, req.Path)
 	}
-	rr := &routedRequest{req: req, route: route, tableVersion: t.Version(), priority: route.Priority, traits: traitsOf(req)}
+	rr := &routedRequest{req: req, route: route, tableVersion: t.Version(), priority: route.Priority}
 	if t.NeedsKey(route) {
 		w, ok := t.Identify(req.APIKey)
 		if !ok {
@@ -54,6 +54,7 @@
 		}
 	}
 	rr.hash = requestHash(rr)
+	rr.traits = traitsOf(rr)
 	s.mu.Lock()
 	point := s.rand.Float64()
 	stopDeadline, lateAcceptUntil := s.stopDeadline, s.lateAcceptUntil
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -170,7 +170,8 @@
 
 // OutputSeen reports that a request has had output.
 type OutputSeen struct {
-	Traits []uint64 // of the request
+	Service string
+	Traits  []uint64 // of the request
 }
 
 // Stopping reports that this node has been asked to stop.
--- a/poison/culprit.go
+++ b/poison/culprit.go
@@ -11,7 +11,7 @@
 const (
 	minCrashes   = 3                      // that a quarantine must explain if that is half of those in the time
 	minScattered = 5                      // that it must explain otherwise, as endpoints crash for other causes then
-	minSpan      = 200 * time.Millisecond // between the first and the last of them, as an outage ends many endpoints at once
+	minSpan      = 100 * time.Millisecond // between the first and the last of them, as an outage ends many endpoints at once
 	// Requests without the trait that must have had output since its first crash, which shows
 	// that endpoints answer: of a trait that is established, and of any at a node that has just
 	// started.
@@ -22,9 +22,9 @@
 // evidence is what a node knows of crashes.
 type evidence struct {
 	crashes       []crash
-	outputs       int                 // requests that have had output at this node
-	isEstablished func(t uint64) bool // reports whether requests with a trait have had output lately
-	joining       bool                // the node has just started and may not know that
+	outputsOf     func(service string) int // returns how many requests of a service have had output at this node
+	isEstablished func(t uint64) bool      // reports whether requests with a trait have had output lately
+	joining       bool                     // the node has just started and may not know that
 }
 
 // culprits returns the sets of traits that explain crashes which the known sets do not.
@@ -128,7 +128,7 @@
 	if n < minCrashes || 2*n < between && n < minScattered {
 		return false
 	}
-	outputs := e.outputs - e.crashes[first].outputs
+	outputs := e.outputsOf(e.crashes[first].service) - e.crashes[first].outputs
 	switch {
 	case e.isEstablished(t):
 		return outputs >= minOutputsEstablished
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,15 +2,16 @@
 // requests like them from endpoints.
 //
 // It is a plug-in of the kernel. It knows a request by its traits, hashes of what others may
-// have in common with it, such as the parts of its prompt. When an endpoint crashes, each node
-// tells all others the traits of its requests that ran there and had no output yet. What the
-// requests of several crashes share is quarantined: each node rejects requests that have it.
-// Output clears the traits of a request, as those that crash endpoints never have any.
+// have in common with it, such as the parts of its prompt, or the request itself when it comes
+// again. When an endpoint crashes, each node tells all others the traits of its requests that
+// ran there and had no output yet. What the requests of several crashes share is quarantined:
+// each node rejects requests that have it. Output clears the traits of a request, as those that
+// crash endpoints never have any.
 //
-// Load pattern: requests that are alike in one trait only come at all nodes. Each crashes the
-// engine that runs it, which takes the requests of other callers with it, and several engines
-// crash within a second. Sound requests share the other traits. Meanwhile engines crash for
-// other causes too, alone or many at once.
+// Load pattern: requests that are alike in one trait only, or the same request again and again,
+// come at all nodes. Each crashes the endpoint that runs it, which takes the requests of other
+// callers with it, and several endpoints crash within a second. Sound requests share the other
+// traits. Meanwhile endpoints crash for other causes too, alone or many at once.
 //
 // Invariants:
 //   - A trait is suspected of a crash only if a request with it ran there without output, and no
@@ -51,7 +52,9 @@
 	handle = kernel.Register(kernel.Plugin[*View]{
 		Name: "poison",
 		Rank: 35,
-		Init: func(kernel.Config) *View { return &View{recent: newTraits(), older: newTraits()} },
+		Init: func(kernel.Config) *View {
+			return &View{outputs: immutable.NewMap[string, int](nil), recent: newTraits(), older: newTraits()}
+		},
 		Step: step,
 	})
 }
@@ -64,6 +67,9 @@
 // traitMap is a set of traits.
 type traitMap = immutable.Map[uint64, struct{}]
 
+// outputMap counts requests by service.
+type outputMap = immutable.Map[string, int]
+
 func newTraits() *traitMap { return immutable.NewMap[uint64, struct{}](nil) }
 
 // View is the state of the plug-in: the crashes that are evidence, the quarantines, and the
@@ -71,13 +77,13 @@
 type View struct {
 	crashes     []crash // oldest first
 	quarantines quarantines
-	startedAt   time.Time // first Tick; zero before
-	outputs     int       // requests that have had output at this node
-	recent      *traitMap // had output at this node since rotatedAt
-	older       *traitMap // had output at this node in the establishedTTL before
-	rotatedAt   time.Time // when recent became older
-	gossipAt    time.Time // when the neighbours were last told the quarantines
-	judgedAt    time.Time // when the evidence was last judged
+	startedAt   time.Time  // first Tick; zero before
+	outputs     *outputMap // requests that have had output at this node, by service
+	recent      *traitMap  // had output at this node since rotatedAt
+	older       *traitMap  // had output at this node in the establishedTTL before
+	rotatedAt   time.Time  // when recent became older
+	gossipAt    time.Time  // when the neighbours were last told the quarantines
+	judgedAt    time.Time  // when the evidence was last judged
 }
 
 // crash is the end of an endpoint's process while requests without output ran there.
@@ -86,7 +92,7 @@
 	service     string
 	startMillis int64 // start of the process
 	at          time.Time
-	outputs     int        // requests that had had output at this node before
+	outputs     int        // requests of the service that had had output at this node before
 	requests    [][]uint64 // suspected traits of each request
 }
 
@@ -103,7 +109,7 @@
 		next, effects := v.addCrash(now, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
-		next, cleared, effects := v.withOutput(e.Traits).clear(e.Traits)
+		next, cleared, effects := v.withOutput(e).clear(e.Traits)
 		if len(cleared) > 0 {
 			effects = append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: cleared}}})...)
 		}
@@ -146,11 +152,17 @@
 	return &next, effects
 }
 
-// withOutput returns the view after a request with the given traits had output at this node.
-func (v *View) withOutput(traits []uint64) *View {
+// outputsOf returns the number of requests of a service that have had output at this node.
+func (v *View) outputsOf(service string) int {
+	n, _ := v.outputs.Get(service)
+	return n
+}
+
+// withOutput returns the view after a request had output at this node.
+func (v *View) withOutput(e kernel.OutputSeen) *View {
 	next := *v
-	next.outputs++
-	for _, t := range traits {
+	next.outputs = v.outputs.Set(e.Service, v.outputsOf(e.Service)+1)
+	for _, t := range e.Traits {
 		if next.recent.Len() < maxEstablished {
 			next.recent = next.recent.Set(t, struct{}{})
 		}
@@ -180,7 +192,7 @@
 // addCrash adds what one node reports of a crash, and quarantines what the evidence shows.
 func (v *View) addCrash(now time.Time, report crash) (*View, []kernel.Effect) {
 	next := *v
-	report.at, report.outputs = now, v.outputs
+	report.at, report.outputs = now, v.outputsOf(report.service)
 	next.crashes = slices.Clone(v.crashes)
 	i := slices.IndexFunc(next.crashes, func(c crash) bool {
 		return c.endpoint == report.endpoint && c.startMillis == report.startMillis
@@ -205,7 +217,7 @@
 	found := v.quarantines.relapsed(now, crashed)
 	e := evidence{
 		crashes:       v.crashes,
-		outputs:       v.outputs,
+		outputsOf:     v.outputsOf,
 		isEstablished: v.isEstablished,
 		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
 	}
