Bound what a response that never ends costs, and do not pass on a part of it

Servers may send bytes without end, in a head or a body. Such a response is now lost, as one of a plain service was already.

--- a/entry/call.go
+++ b/entry/call.go
@@ -109,10 +109,7 @@
 		return nil, err
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxPlainBody+1))
-	if err == nil && len(body) > maxPlainBody {
-		err = errors.Errorf("response body exceeds %d bytes", maxPlainBody)
-	}
+	body, err := readBody(resp)
 	if err != nil {
 		err = &relay.LostError{Addr: e.Addr, Err: err}
 		s.recordFailure(ctx, e, err)
@@ -141,6 +138,15 @@
 	}
 }
 
+// readBody reads the whole body of a response, which may have maxPlainBody bytes.
+func readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxPlainBody+1))
+	if err == nil && len(body) > maxPlainBody {
+		return nil, errors.Errorf("response body exceeds %d bytes", maxPlainBody)
+	}
+	return body, err
+}
+
 func (s *Server) newAttempt(rr *routedRequest, e fleet.Endpoint) Attempt {
 	return Attempt{
 		Request:     rr.req,
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -235,7 +235,7 @@
 // false if the generation needs another attempt instead.
 func (g *generation) passResponse(resp *relay.Response) bool {
 	s := g.server
-	body, err := io.ReadAll(io.LimitReader(resp, maxPlainBody))
+	body, err := readBody(resp)
 	if err != nil {
 		g.lastErr = &relay.LostError{Addr: g.endpoint.Addr, Err: err}
 		s.recordFailure(g.ctx, g.endpoint, g.lastErr)
--- a/relay/event.go
+++ b/relay/event.go
@@ -35,23 +35,25 @@
 func (e *EventReader) Next() (Event, error) {
 	e.buf = e.buf[:0]
 	var id string
+	blank := true // no line so far holds anything
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
+		blank = blank && len(bytes.TrimSpace(line)) == 0
 		if len(e.buf) > maxEventSize {
 			return Event{}, bufio.ErrTooLong
 		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
-		if err == io.EOF && len(bytes.TrimSpace(e.buf)) > 0 {
+		if err == io.EOF && !blank {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return Event{}, err
 		}
 		text := strings.TrimRight(string(line), "\r\n")
-		if text == "" && len(bytes.TrimSpace(e.buf)) > 0 {
+		if text == "" && !blank {
 			return Event{ID: id, Raw: e.buf}, nil
 		}
 		if value, ok := strings.CutPrefix(text, "id:"); ok {
