Do not end an event after a line that fills the reader's buffer

Found while reading the reader of events for responses without end. A line of 2,048 bytes left its line feed for the next slice, which looked like the blank line that ends an event, so that the caller got the event in two parts. TestEventWithLineOfBufferSize failed at 2,048 bytes before and passes at 2,040 to 2,060.

--- a/relay/event.go
+++ b/relay/event.go
@@ -35,7 +35,8 @@
 func (e *EventReader) Next() (Event, error) {
 	e.buf = e.buf[:0]
 	var id string
-	blank := true // no line so far holds anything
+	blank := true    // no line so far holds anything
+	partial := false // the line began in an earlier slice
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
@@ -44,6 +45,7 @@
 			return Event{}, bufio.ErrTooLong
 		}
 		if err == bufio.ErrBufferFull {
+			partial = true
 			continue
 		}
 		if err == io.EOF && !blank {
@@ -52,6 +54,10 @@
 		if err != nil {
 			return Event{}, err
 		}
+		if partial {
+			partial = false // a line this long is neither blank nor an id
+			continue
+		}
 		text := strings.TrimRight(string(line), "\r\n")
 		if text == "" && !blank {
 			return Event{ID: id, Raw: e.buf}, nil
