Bound the memory of responses that are read whole

All such responses of a node now share a tenth of the memory of its host; one that finds none left fails like one that is too long. An event of a stream may have 128 KiB, after 1 MiB, as hundreds of streams are read at the same time.

--- a/entry/call.go
+++ b/entry/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -48,6 +47,9 @@
 		s.recordPlacement(rr, e, c)
 		rr.tried = append(rr.tried, e.ID)
 		r, err := s.callEndpoint(ctx, rr, e)
+		if err == nil {
+			defer s.bodies.release(r.body)
+		}
 		if err == nil && (r.status < http.StatusInternalServerError || !rr.route.Retryable()) {
 			writeResponse(out, r)
 			return nil
@@ -99,7 +101,7 @@
 }
 
 // callEndpoint sends the request to the endpoint that was reserved for it, reads
-// the whole response and ends the reservation.
+// the whole response and ends the reservation. The caller releases the memory of the body.
 func (s *Server) callEndpoint(ctx context.Context, rr *routedRequest, e fleet.Endpoint) (*bufferedResponse, error) {
 	defer s.addUsage(e.ID, usage{requests: -1})
 	a := s.newAttempt(rr, e)
@@ -109,7 +111,7 @@
 		return nil, err
 	}
 	defer resp.Close()
-	body, err := readBody(resp)
+	body, err := s.bodies.read(resp)
 	if err != nil {
 		err = &relay.LostError{Addr: e.Addr, Err: err}
 		s.recordFailure(ctx, e, err)
@@ -138,15 +140,6 @@
 	}
 }
 
-// readBody reads the whole body of a response, which may have maxPlainBody bytes.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxPlainBody+1))
-	if err == nil && len(body) > maxPlainBody {
-		return nil, errors.Errorf("response body exceeds %d bytes", maxPlainBody)
-	}
-	return body, err
-}
-
 func (s *Server) newAttempt(rr *routedRequest, e fleet.Endpoint) Attempt {
 	return Attempt{
 		Request:     rr.req,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -157,6 +157,7 @@
 	Seed          uint64
 	RetryLimit    retry.Limit   // of the retries at each service
 	MaxFillBackup float64       // fraction of an engine's memory up to which it takes backups of generations on other engines; 0 for none
+	BodyMemory    int64         // bytes of all responses that are read whole at the same time; 0 for a default
 	AddressTTL    time.Duration // how long callers may use a list of entry hosts
 	StoreFailing  func() bool   // reports whether this node's reads of the store fail at present; nil for never
 }
@@ -167,6 +168,7 @@
 	mu              sync.Mutex
 	rand            *rand.Rand
 	usage           *usageTracker
+	bodies          *bodyMemory
 	metrics         *serverMetrics
 	retryLimiters   map[string]*retry.Limiter                  // by service
 	generations     map[*generation]bool                       // those in flight
@@ -186,6 +188,7 @@
 		cfg:           cfg,
 		rand:          rand.New(rand.NewPCG(cfg.Seed, 7)),
 		usage:         newUsageTracker(),
+		bodies:        newBodyMemory(cfg.BodyMemory),
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
 		crashChecks:   map[string]*crashCheck{},
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -235,12 +235,13 @@
 // false if the generation needs another attempt instead.
 func (g *generation) passResponse(resp *relay.Response) bool {
 	s := g.server
-	body, err := readBody(resp)
+	body, err := s.bodies.read(resp)
 	if err != nil {
 		g.lastErr = &relay.LostError{Addr: g.endpoint.Addr, Err: err}
 		s.recordFailure(g.ctx, g.endpoint, g.lastErr)
 		return false
 	}
+	defer s.bodies.release(body)
 	s.recordOutcome(g.endpoint.ID, resp.Status < http.StatusInternalServerError)
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
--- a/relay/event.go
+++ b/relay/event.go
@@ -21,8 +21,8 @@
 }
 
 const (
-	eventBufferSize = 2 << 10 // bytes
-	maxEventSize    = 1 << 20 // bytes of one event of an EventReader
+	eventBufferSize = 2 << 10   // bytes
+	maxEventSize    = 128 << 10 // bytes of one event of an EventReader; hundreds of streams may read as much at the same time
 )
 
 // NewEventReader returns a reader of r's events.
