Report requests that a quarantine has ended if their engine crashes nevertheless

Only bystanders reported that crash, so that it counted against their parts. A request that was ended is now looked after like others that lost their engine.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -25,11 +25,12 @@
 }
 
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
-// request broke before it had any output, or adds the request to the check that runs. An
+// request broke before it had any output, or adds the request to the check that runs. A
+// request that a quarantine has ended may still have crashed the endpoint, and explains it. An
 // endpoint that is leaving ends as planned, so it is not checked.
 func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
 	var lost *relay.LostError
-	if ctx.Err() != nil || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
+	if ctx.Err() != nil && !wasAborted(ctx) || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
 	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving {
