Judge a crash once all nodes have reported it, and let nodes correct one that just started

Crashes are now judged 150 ms after their first report. TestReportsArriveInAnyOrder failed before.

A node that has just started does not know which traits are established. Other nodes that know one to be now refuse its quarantine and tell it (TestEstablishedTraitIsNotQuarantinedByOthers failed before). A trait that is established needs 20 requests with output after its first crash, in place of 5: of five, a quarter of whose requests have the trait, none has it with a chance of 24 in 100.

--- a/poison/culprit.go
+++ b/poison/culprit.go
@@ -15,8 +15,8 @@
 	// Requests without the trait that must have had output since its first crash, which shows
 	// that endpoints answer: of a trait that is established, and of any at a node that has just
 	// started.
-	minOutputsEstablished = 5
-	minOutputsJoining     = 2
+	minOutputsEstablished = 20
+	minOutputsJoining     = 5
 )
 
 // evidence is what a node knows of crashes.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -36,8 +36,8 @@
 
 const (
 	establishedTTL = time.Minute            // for which a trait is established at least after output
-	joinTime       = 5 * time.Second        // after the start of a node in which it may not know which traits are established
-	judgeInterval  = 500 * time.Millisecond // between two judgements without a new crash
+	joinTime       = 3 * time.Second        // after the start of a node in which it may not know which traits are established
+	settleTime     = 150 * time.Millisecond // after the first report of a crash, in which the nodes report the requests that ran there
 	crashTTL       = 5 * time.Minute        // for which a crash is evidence
 	gossipInterval = time.Second            // between two messages with the quarantines to a neighbour
 	maxCrashes     = 64                     // that are evidence; older ones are dropped
@@ -83,7 +83,6 @@
 	older       *traitMap  // had output at this node in the establishedTTL before
 	rotatedAt   time.Time  // when recent became older
 	gossipAt    time.Time  // when the neighbours were last told the quarantines
-	judgedAt    time.Time  // when the evidence was last judged
 }
 
 // crash is the end of an endpoint's process while requests without output ran there.
@@ -122,7 +121,7 @@
 			next, _, effects := v.clear(body.Sound.GetTraits())
 			return next, effects
 		case *wire.Frame_Quarantines:
-			return v.merge(now, body.Quarantines.GetList())
+			return v.merge(now, m, e.From, body.Quarantines.GetList())
 		}
 	}
 	return v, nil
@@ -141,8 +140,8 @@
 		next.crashes = v.crashes[1:]
 	}
 	var effects []kernel.Effect
-	if len(next.crashes) > 0 && now.Sub(v.judgedAt) >= judgeInterval {
-		effects = next.judge(now, nil)
+	if len(next.crashes) > 0 {
+		effects = next.judge(now)
 	}
 	if len(next.quarantines) > 0 && now.Sub(v.gossipAt) >= gossipInterval {
 		next.gossipAt = now
@@ -189,7 +188,8 @@
 	return c
 }
 
-// addCrash adds what one node reports of a crash, and quarantines what the evidence shows.
+// addCrash adds what one node reports of a crash. Requests whose quarantine has ended and that
+// have just been on an endpoint that crashed are quarantined again at once.
 func (v *View) addCrash(now time.Time, report crash) (*View, []kernel.Effect) {
 	next := *v
 	report.at, report.outputs = now, v.outputsOf(report.service)
@@ -207,23 +207,28 @@
 			next.crashes = next.crashes[1:]
 		}
 	}
-	return &next, next.judge(now, report.requests)
+	return &next, next.quarantine(now, next.quarantines.relapsed(now, report.requests))
 }
 
-// judge quarantines what the evidence shows, and those of the given requests whose quarantine
-// has ended: they have just been on an endpoint that crashed.
-func (v *View) judge(now time.Time, crashed [][]uint64) []kernel.Effect {
-	v.judgedAt = now
-	found := v.quarantines.relapsed(now, crashed)
+// judge quarantines what the crashes show of which all nodes have reported their requests.
+func (v *View) judge(now time.Time) []kernel.Effect {
+	settled := len(v.crashes)
+	for settled > 0 && now.Sub(v.crashes[settled-1].at) < settleTime {
+		settled--
+	}
 	e := evidence{
-		crashes:       v.crashes,
+		crashes:       v.crashes[:settled],
 		outputsOf:     v.outputsOf,
 		isEstablished: v.isEstablished,
 		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
 	}
-	found = append(found, culprits(e, append(v.quarantines.active(now), found...))...)
+	return v.quarantine(now, culprits(e, v.quarantines.active(now)))
+}
+
+// quarantine begins the next quarantine of each of the sets.
+func (v *View) quarantine(now time.Time, sets []traitSet) []kernel.Effect {
 	var effects []kernel.Effect
-	for _, set := range found {
+	for _, set := range sets {
 		q := v.quarantines.next(now, set)
 		v.quarantines = v.quarantines.with(set, q)
 		effects = append(effects, notify(now, set, q, fmt.Sprintf("requests with it ran without output on endpoints that crashed, one of them %s", v.crashes[len(v.crashes)-1].endpoint))...)
@@ -283,21 +288,30 @@
 	})
 }
 
-// merge stores the quarantines of another node that are newer than those of this one.
-func (v *View) merge(now time.Time, list []*wire.Quarantine) (*View, []kernel.Effect) {
+// merge stores the quarantines of another node that are newer than those of this one. It tells
+// that node of traits that are established here: a node that has just started cannot know.
+func (v *View) merge(now time.Time, m *member.View, from string, list []*wire.Quarantine) (*View, []kernel.Effect) {
 	next := *v
 	var effects []kernel.Effect
+	var established []uint64
 	for _, w := range list {
 		set, q := decodeQuarantine(now, w)
 		if set == "" || !q.replaces(next.quarantines[set]) {
 			continue
 		}
+		if here := slices.DeleteFunc(set.traits(), func(t uint64) bool { return !v.isEstablished(t) }); len(here) > 0 && q.isActive(now) {
+			established = append(established, here...)
+			continue
+		}
 		wasActive := next.quarantines[set].isActive(now)
 		next.quarantines = next.quarantines.with(set, q)
 		if q.isActive(now) && !wasActive {
 			effects = append(effects, notify(now, set, q, "another node said so")...)
 		}
 	}
+	if len(established) > 0 {
+		effects = append(effects, m.SendTo([]string{from}, &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: established}}})...)
+	}
 	return &next, effects
 }
 
