Keep quarantines in the platform's store

If all nodes ended at once, quarantines were forgotten, and the requests crashed three more endpoints before they were found again. One node now writes each quarantine to the store when it begins, and removes it when it ends or is lifted; nodes read them with the rest of the store before they serve.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,6 +61,9 @@
 	// OnQuarantine is called when requests with all of the given traits are quarantined. It
 	// may be nil.
 	OnQuarantine func(traits []uint64)
+	// OnSaveQuarantine is called with the quarantines to write to the platform's store. It must
+	// not block, and may be nil.
+	OnSaveQuarantine func(q kernel.SaveQuarantine)
 }
 
 // Daemon drives the kernel of one node.
@@ -251,6 +254,10 @@
 		if d.cfg.OnQuarantine != nil {
 			d.cfg.OnQuarantine(f.Traits)
 		}
+	case kernel.SaveQuarantine:
+		if d.cfg.OnSaveQuarantine != nil {
+			d.cfg.OnSaveQuarantine(f)
+		}
 	case kernel.Raise:
 		// Step handles these itself and never returns them.
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed watches the platform's store and posts what it holds to the
-// kernel: the routing table, the endpoints and the other nodes. It also keeps
-// this node's own record in the store.
+// kernel: the routing table, the endpoints, the other nodes and the quarantines. It also
+// keeps this node's own record and quarantines in the store.
 //
 // Only a few nodes watch the store (fleet.ReadsStore); the others learn of changes
 // from them by gossip. Endpoints whose records expire around an outage of the
@@ -82,11 +82,12 @@
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
 	recordWritten bool                     // this node's record may be in the store; used by Register only
 	failing       atomic.Bool              // the last list or watch failed
+	saver         saver
 }
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: saver{pending: map[string]store.Write{}}}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
@@ -225,7 +226,14 @@
 	present := map[string]bool{}
 	learned := kernel.ItemsLearned{Complete: listed}
 	nodesChanged := false
+	var read kernel.QuarantinesRead
 	for _, e := range r.Entries {
+		if q, ok := f.decodeQuarantine(e); ok {
+			if q != nil {
+				read.List = append(read.List, q)
+			}
+			continue
+		}
 		if strings.HasPrefix(e.Key, nodePrefix) {
 			f.updateNode(e)
 			nodesChanged = true
@@ -239,6 +247,9 @@
 			learned.Items = append(learned.Items, item)
 		}
 	}
+	if len(read.List) > 0 {
+		f.cfg.Daemon.Post(ctx, read) // first, as the node serves callers once it has learned all items
+	}
 	f.cfg.Daemon.Post(ctx, learned)
 	if nodesChanged {
 		f.postNodes(ctx)
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -94,6 +94,13 @@
 	Traits []uint64
 }
 
+// SaveQuarantine asks the driver to write a quarantine to the platform's store, where it
+// outlasts all nodes, or to remove it.
+type SaveQuarantine struct {
+	Traits     []uint64
+	Quarantine *wire.Quarantine // nil to remove it
+}
+
 // Record adds an entry to the node's trace.
 type Record struct {
 	Kind      string // short name of what happened, such as "grant"
@@ -112,5 +119,6 @@
 func (WatchLoad) isEffect()        {}
 func (NotifyLeaving) isEffect()    {}
 func (OriginFound) isEffect()      {}
+func (SaveQuarantine) isEffect()   {}
 func (NotifyQuarantine) isEffect() {}
 func (Record) isEffect()           {}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -174,6 +174,11 @@
 	Traits  []uint64 // of the request
 }
 
+// QuarantinesRead carries the quarantines that this node has read from the platform's store.
+type QuarantinesRead struct {
+	List []*wire.Quarantine
+}
+
 // Stopping reports that this node has been asked to stop.
 type Stopping struct{}
 
@@ -196,4 +201,5 @@
 func (OriginAsked) isEvent()        {}
 func (EndpointCrashed) isEvent()    {}
 func (OutputSeen) isEvent()         {}
+func (QuarantinesRead) isEvent()    {}
 func (Stopping) isEvent()           {}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -19,6 +19,7 @@
 //   - A process of an endpoint crashes once, however many nodes report it.
 //   - Of the traits that explain the same crashes, none is quarantined alone: a quarantine
 //     holds all of those that one request has, and concerns requests that have them all.
+//   - A quarantine is written to the platform's store, where it outlasts the nodes.
 //   - The memory is bounded by maxCrashes, maxRequests, maxTraits, maxQuarantines and
 //     maxEstablished.
 package poison
@@ -31,6 +32,7 @@
 	"github.com/benbjohnson/immutable"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/owner"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
@@ -105,23 +107,33 @@
 			return v, nil
 		}
 		report := bounded(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests})
-		next, effects := v.addCrash(now, report)
+		next, effects := v.addCrash(now, m, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
-		next, cleared, effects := v.withOutput(e).clear(e.Traits)
+		next, cleared, effects := v.withOutput(e).clear(now, m, e.Traits)
 		if len(cleared) > 0 {
 			effects = append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: cleared}}})...)
 		}
 		return next, effects
+	case kernel.QuarantinesRead:
+		next, _, _, effects := v.merge(now, e.List)
+		return next, effects
 	case kernel.FrameReceived:
 		switch body := e.Frame.GetBody().(type) {
 		case *wire.Frame_Crash:
-			return v.addCrash(now, decodeCrash(body.Crash))
+			return v.addCrash(now, m, decodeCrash(body.Crash))
 		case *wire.Frame_Sound:
-			next, _, effects := v.clear(body.Sound.GetTraits())
+			next, _, effects := v.clear(now, m, body.Sound.GetTraits())
 			return next, effects
 		case *wire.Frame_Quarantines:
-			return v.merge(now, m, e.From, body.Quarantines.GetList())
+			next, merged, established, effects := v.merge(now, body.Quarantines.GetList())
+			for _, set := range merged {
+				effects = append(effects, save(now, m, set, next.quarantines[set])...)
+			}
+			if len(established) > 0 {
+				effects = append(effects, m.SendTo([]string{e.From}, &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: established}}})...)
+			}
+			return next, effects
 		}
 	}
 	return v, nil
@@ -141,9 +153,14 @@
 	}
 	var effects []kernel.Effect
 	if len(next.crashes) > 0 {
-		effects = next.judge(now)
+		effects = next.judge(now, m)
 	}
 	if len(next.quarantines) > 0 && now.Sub(v.gossipAt) >= gossipInterval {
+		for set, q := range v.quarantines.sorted() {
+			if !q.isActive(now) && q.isActive(v.gossipAt) {
+				effects = append(effects, save(now, m, set, q)...)
+			}
+		}
 		next.gossipAt = now
 		next.quarantines = next.quarantines.without(now)
 		effects = append(effects, m.SendTo(m.Neighbours(), &wire.Frame{Body: &wire.Frame_Quarantines{Quarantines: next.quarantines.wire(now)}})...)
@@ -190,7 +207,7 @@
 
 // addCrash adds what one node reports of a crash. Requests whose quarantine has ended and that
 // have just been on an endpoint that crashed are quarantined again at once.
-func (v *View) addCrash(now time.Time, report crash) (*View, []kernel.Effect) {
+func (v *View) addCrash(now time.Time, m *member.View, report crash) (*View, []kernel.Effect) {
 	next := *v
 	report.at, report.outputs = now, v.outputsOf(report.service)
 	next.crashes = slices.Clone(v.crashes)
@@ -207,11 +224,11 @@
 			next.crashes = next.crashes[1:]
 		}
 	}
-	return &next, next.quarantine(now, next.quarantines.relapsed(now, report.requests))
+	return &next, next.quarantine(now, m, next.quarantines.relapsed(now, report.requests))
 }
 
 // judge quarantines what the crashes show of which all nodes have reported their requests.
-func (v *View) judge(now time.Time) []kernel.Effect {
+func (v *View) judge(now time.Time, m *member.View) []kernel.Effect {
 	settled := len(v.crashes)
 	for settled > 0 && now.Sub(v.crashes[settled-1].at) < settleTime {
 		settled--
@@ -222,15 +239,16 @@
 		isEstablished: v.isEstablished,
 		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
 	}
-	return v.quarantine(now, culprits(e, v.quarantines.active(now)))
+	return v.quarantine(now, m, culprits(e, v.quarantines.active(now)))
 }
 
 // quarantine begins the next quarantine of each of the sets.
-func (v *View) quarantine(now time.Time, sets []traitSet) []kernel.Effect {
+func (v *View) quarantine(now time.Time, m *member.View, sets []traitSet) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, set := range sets {
 		q := v.quarantines.next(now, set)
 		v.quarantines = v.quarantines.with(set, q)
+		effects = append(effects, save(now, m, set, q)...)
 		effects = append(effects, notify(now, set, q, fmt.Sprintf("requests with it ran without output on endpoints that crashed, one of them %s", v.crashes[len(v.crashes)-1].endpoint))...)
 	}
 	return effects
@@ -238,7 +256,7 @@
 
 // clear drops the suspicion of traits of a request that had output, and lifts the
 // quarantines that name them. It returns the traits that were suspected.
-func (v *View) clear(traits []uint64) (*View, []uint64, []kernel.Effect) {
+func (v *View) clear(now time.Time, m *member.View, traits []uint64) (*View, []uint64, []kernel.Effect) {
 	var cleared []uint64
 	for _, t := range traits {
 		if v.suspects(t) {
@@ -266,10 +284,12 @@
 		lifted := q
 		lifted.lifted = true
 		next.quarantines = next.quarantines.with(set, lifted)
+		effects = append(effects, save(now, m, set, lifted)...)
 		effects = append(effects, kernel.Record{Kind: "quarantine-lifted", Detail: fmt.Sprintf("requests with a trait of %s have had output", set)})
 		if rest := set.minus(cleared); rest != "" {
 			if _, known := next.quarantines[rest]; !known {
 				next.quarantines = next.quarantines.with(rest, q)
+				effects = append(effects, save(now, m, rest, q)...)
 			}
 		}
 	}
@@ -288,12 +308,12 @@
 	})
 }
 
-// merge stores the quarantines of another node that are newer than those of this one. It tells
-// that node of traits that are established here: a node that has just started cannot know.
-func (v *View) merge(now time.Time, m *member.View, from string, list []*wire.Quarantine) (*View, []kernel.Effect) {
-	next := *v
-	var effects []kernel.Effect
-	var established []uint64
+// merge stores the quarantines of another node, or of the store, that are newer than those of
+// this one. It refuses those of traits that are established here and returns these traits: a
+// node that has just started cannot know them.
+func (v *View) merge(now time.Time, list []*wire.Quarantine) (next *View, merged []traitSet, established []uint64, effects []kernel.Effect) {
+	next = &View{}
+	*next = *v
 	for _, w := range list {
 		set, q := decodeQuarantine(now, w)
 		if set == "" || !q.replaces(next.quarantines[set]) {
@@ -305,14 +325,25 @@
 		}
 		wasActive := next.quarantines[set].isActive(now)
 		next.quarantines = next.quarantines.with(set, q)
+		merged = append(merged, set)
 		if q.isActive(now) && !wasActive {
 			effects = append(effects, notify(now, set, q, "another node said so")...)
 		}
 	}
-	if len(established) > 0 {
-		effects = append(effects, m.SendTo([]string{from}, &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: established}}})...)
+	return next, merged, established, effects
+}
+
+// save returns the effect that writes a quarantine to the platform's store, or removes it from
+// there, if that falls to this node: one is enough.
+func save(now time.Time, m *member.View, set traitSet, q quarantine) []kernel.Effect {
+	if !owner.InTopN(string(set), m.Self().GetId(), 1, m.Owners()) {
+		return nil
+	}
+	effect := kernel.SaveQuarantine{Traits: set.traits()}
+	if q.isActive(now) {
+		effect.Quarantine = q.wire(now, set)
 	}
-	return &next, effects
+	return []kernel.Effect{effect}
 }
 
 // notify returns the effects that tell of a quarantine that has begun.
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -191,14 +191,18 @@
 func (l quarantines) wire(now time.Time) *wire.Quarantines {
 	w := &wire.Quarantines{}
 	for set, q := range l.sorted() {
-		w.List = append(w.List, &wire.Quarantine{
-			Traits: set.traits(), Number: q.number, Lifted: q.lifted,
-			Left: uint32(max(q.until.Sub(now).Milliseconds(), 0)),
-		})
+		w.List = append(w.List, q.wire(now, set))
 	}
 	return w
 }
 
+func (q quarantine) wire(now time.Time, set traitSet) *wire.Quarantine {
+	return &wire.Quarantine{
+		Traits: set.traits(), Number: q.number, Lifted: q.lifted,
+		Left: uint32(max(q.until.Sub(now).Milliseconds(), 0)),
+	}
+}
+
 // decodeQuarantine decodes a quarantine of a message that arrives now.
 func decodeQuarantine(now time.Time, w *wire.Quarantine) (traitSet, quarantine) {
 	traits := w.GetTraits()
