Hold back retries of requests that were lost on two endpoints that crashed

A retry follows at once, and crashed the next endpoint before the crash before it had been judged. The check whether a process has ended is now in relay, for the front too, and takes three looks 15 ms apart. An endpoint of which it is not known when it started counts again for a crash a second later (TestCrashesOfOneEndpoint).

--- a/entry/call.go
+++ b/entry/call.go
@@ -77,6 +77,7 @@
 			break
 		}
 		s.record("retry", rr.req, e.ID, fmt.Sprintf("retrying an idempotent request that failed: %s", describeFailure(r, err)))
+		s.holdSuspected(ctx, rr)
 	}
 	if last != nil {
 		writeResponse(out, last)
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,20 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
-	"github.com/plantaindeck/plantaindeck/wait"
-)
-
-const (
-	crashCheckDelay   = 10 * time.Millisecond // in which all connections to a process that has ended break
-	crashCheckGap     = 40 * time.Millisecond // between the checks, as the listener may close after the connections
-	crashChecks       = 2
-	crashCheckTimeout = 300 * time.Millisecond
 )
 
 // crashCheck finds out whether an endpoint whose connections broke has crashed.
@@ -51,14 +42,7 @@
 
 // runCrashCheck reports an endpoint as crashed if nothing listens at its address any more.
 func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
-	wait.For(ctx, crashCheckDelay)
-	ended := false
-	for i := 0; i < crashChecks && !ended; i++ {
-		if i > 0 {
-			wait.For(ctx, crashCheckGap)
-		}
-		ended = s.cfg.Relay.IsClosed(ctx, e.Addr, crashCheckTimeout)
-	}
+	ended := s.cfg.Relay.HasEnded(ctx, e.Addr)
 	s.mu.Lock()
 	c := s.crashChecks[e.ID]
 	delete(s.crashChecks, e.ID)
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -13,6 +13,7 @@
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/poison"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 // minSoundEvents is the number of events from one engine that show that it doesn't crash when
@@ -81,6 +82,16 @@
 	return poison.Of(state).Quarantined(now, member.Of(state), rr.traits)
 }
 
+// holdSuspected waits before a retry of a request that may have crashed endpoints, until that
+// has been judged. Load pattern: the retry would crash the next endpoint before the nodes know
+// the cause.
+func (s *Server) holdSuspected(ctx context.Context, rr *routedRequest) {
+	if poison.Of(s.cfg.Daemon.State()).Suspected(rr.traits) {
+		s.record("held", rr.req, "", fmt.Sprintf("requests like it were lost on endpoints that crashed; the retry waits %s", poison.JudgeTime))
+		wait.For(ctx, poison.JudgeTime)
+	}
+}
+
 // quarantineError returns the error for a request that has not run, as requests like it are
 // kept from endpoints for the given time.
 func quarantineError(left time.Duration) *apierr.Error {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -120,6 +120,9 @@
 	if rr.mayHaveRun && (!rr.route.Retryable() || g.attempts >= rr.route.MaxAttempts) {
 		return false
 	}
+	if g.attempts > 0 && g.events == 0 {
+		s.holdSuspected(g.ctx, rr)
+	}
 	var ok bool
 	g.endpoint, ok = g.waitForRoom()
 	g.promptPending = ok
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -164,7 +164,7 @@
 type EndpointCrashed struct {
 	Endpoint    string
 	Service     string
-	StartMillis int64      // start of the process that crashed, Unix milliseconds
+	StartMillis int64      // start of the process that crashed, Unix milliseconds; 0 if unknown
 	Requests    [][]uint64 // traits of the requests that had no output yet
 }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -42,12 +42,20 @@
 	settleTime     = 150 * time.Millisecond // after the first report of a crash, in which the nodes report the requests that ran there
 	crashTTL       = 5 * time.Minute        // for which a crash is evidence
 	gossipInterval = time.Second            // between two messages with the quarantines to a neighbour
+	minRestart     = time.Second            // between two crashes of an endpoint of which it is not known when its process started
 	maxCrashes     = 64                     // that are evidence; older ones are dropped
 	maxRequests    = 64                     // of one crash
 	maxTraits      = 32                     // of one request
 	maxEstablished = 1 << 14                // traits that had output in one establishedTTL
 )
 
+const (
+	// JudgeTime is the time from a crash until it has been judged, in which a retry of a request
+	// that Suspected tells is better held back.
+	JudgeTime = settleTime + 3*kernel.TickInterval/2
+	minHeld   = 2 // crashes from which a request is suspected
+)
+
 var handle kernel.Handle[*View]
 
 func init() {
@@ -91,7 +99,7 @@
 type crash struct {
 	endpoint    string
 	service     string
-	startMillis int64 // start of the process
+	startMillis int64 // start of the process; 0 if unknown
 	at          time.Time
 	outputs     int        // requests of the service that had had output at this node before
 	requests    [][]uint64 // suspected traits of each request
@@ -212,7 +220,7 @@
 	report.at, report.outputs = now, v.outputsOf(report.service)
 	next.crashes = slices.Clone(v.crashes)
 	i := slices.IndexFunc(next.crashes, func(c crash) bool {
-		return c.endpoint == report.endpoint && c.startMillis == report.startMillis
+		return c.endpoint == report.endpoint && c.startMillis == report.startMillis && (c.startMillis != 0 || now.Sub(c.at) < minRestart)
 	})
 	switch {
 	case i >= 0:
@@ -308,6 +316,20 @@
 	})
 }
 
+// Suspected reports whether one of the traits, which is not established, is suspected of so
+// many crashes that a retry may be the one that shows the cause.
+func (v *View) Suspected(traits []uint64) bool {
+	return len(v.crashes) >= minHeld && slices.ContainsFunc(traits, func(t uint64) bool {
+		n := 0
+		for _, c := range v.crashes {
+			if slices.ContainsFunc(c.requests, func(r []uint64) bool { return slices.Contains(r, t) }) {
+				n++
+			}
+		}
+		return n >= minHeld && !v.isEstablished(t)
+	})
+}
+
 // merge stores the quarantines of another node, or of the store, that are newer than those of
 // this one. It refuses those of traits that are established here and returns these traits: a
 // node that has just started cannot know them.
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -137,6 +137,20 @@
 	qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
 }
 
+// TestCrashesOfOneEndpoint checks that an endpoint that crashes, starts again and crashes again
+// counts each time, although it is not known when it started.
+func TestCrashesOfOneEndpoint(t *testing.T) {
+	n := newNetwork(t, 4)
+	for i := range 3 {
+		for node := range 2 {
+			n.Step(node, kernel.EndpointCrashed{Endpoint: "e1", Requests: [][]uint64{{bad}, {other + uint64(i)}}})
+		}
+		qt.Assert(t, n.quarantined(bad), qt.Equals, 0)
+		n.Run(2 * time.Second)
+	}
+	qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
+}
+
 // TestOutputClearsTraits checks that output at one node clears the traits of its request at
 // all nodes, before and after they were quarantined.
 func TestOutputClearsTraits(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 const (
@@ -21,6 +22,9 @@
 	maxResponseHeads  = 4               // responses of one exchange, the interim ones (1xx) included
 	userTimeout       = 4 * time.Second // for sent bytes to be acknowledged
 	keepAliveInterval = 2 * time.Second
+	endChecks         = 3                     // whether a process has ended
+	endCheckDelay     = 15 * time.Millisecond // before each of them, as the listener may close after the connections
+	endCheckTimeout   = 300 * time.Millisecond
 )
 
 // Request is a request that is sent without changes to its URI, header and body.
@@ -87,10 +91,23 @@
 	return resp, nil
 }
 
-// IsClosed reports whether nothing listens at an address, as after the end of the process
-// that did.
-func (c *Client) IsClosed(ctx context.Context, addr string, timeout time.Duration) bool {
-	dialer := net.Dialer{Timeout: timeout}
+// HasEnded reports whether the process at an address has ended, after a connection to it broke:
+// nothing listens there any more.
+func (c *Client) HasEnded(ctx context.Context, addr string) bool {
+	for range endChecks {
+		if !wait.For(ctx, endCheckDelay) {
+			return false
+		}
+		if isClosed(ctx, addr) {
+			return true
+		}
+	}
+	return false
+}
+
+// isClosed reports whether nothing listens at an address.
+func isClosed(ctx context.Context, addr string) bool {
+	dialer := net.Dialer{Timeout: endCheckTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err == nil {
 		_ = conn.Close()
