Quarantine harmful requests in deployments of the product's own too

The same cause on the other path to endpoints: the front of a deployment of its own retried a request that crashes endpoints at up to four of them, and forgot it. It now tells the kernel of crashes and of output, with the hash of the request and of each message of a prompt but the last as traits, and asks it before each attempt. The stand-in engines and services crash under a text of tests' choice. TestRequestsCrashEndpoints: with the check switched off, all 7 engines crash under two requests; with it, at most 4, and none of four later ones reaches an engine.

--- a/fakes/command.go
+++ b/fakes/command.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -200,6 +201,7 @@
 	DropResponses  int           `json:"drop"`   // number of calls to execute without a response
 	RefuseRequests int           `json:"refuse"` // number of calls to reject with 503, without executing them
 	Delay          time.Duration `json:"delay"`  // additional time that each call takes
+	CrashOn        string        `json:"crash"`  // the service crashes when it begins to run a call whose body contains this; empty for none
 }
 
 // Service is a plain service that records the calls that it executes.
@@ -252,6 +254,10 @@
 		replyError(ctx, fasthttp.StatusServiceUnavailable, "refused")
 		return
 	}
+	if s.crashesOn(string(ctx.PostBody())) {
+		crash(ctx, s.Kill)
+		return
+	}
 	dropResponse := s.takeFault(func(f *ServiceFaults) *int { return &f.DropResponses })
 	n := s.execute(ctx)
 	if dropResponse {
@@ -269,6 +275,13 @@
 	Path      string `json:"path"`
 }
 
+// crashesOn reports whether the service crashes when it begins to run a call.
+func (s *Service) crashesOn(body string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CrashOn != "" && strings.Contains(body, s.faults.CrashOn)
+}
+
 // takeFault reports whether to inject a fault now. Its argument returns a pointer
 // to the fault's remaining count, which takeFault decrements if it is not zero.
 func (s *Service) takeFault(field func(f *ServiceFaults) *int) bool {
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -46,6 +46,7 @@
 	CutStreams     int           `json:"cut"`    // number of streams to break
 	CutAfterTokens int           `json:"cutat"`  // index of the token before which a stream breaks
 	RefuseRequests int           `json:"refuse"` // number of requests to reject with 429
+	CrashOn        string        `json:"crash"`  // the engine crashes when it begins to answer a prompt that contains this; empty for none
 }
 
 // EngineCounts counts events since an engine started.
--- a/fakes/engine_http.go
+++ b/fakes/engine_http.go
@@ -101,6 +101,10 @@
 		replyError(ctx, status, reason)
 		return
 	}
+	if e.crashesOn(promptText(req.Messages)) {
+		crash(ctx, e.Kill)
+		return
+	}
 	if e.takeFault(func(f *EngineFaults) *int { return &f.DropResponses }) {
 		e.release(g)
 		ctx.HijackSetNoResponse(true)
@@ -123,6 +127,22 @@
 	return true
 }
 
+// crashesOn reports whether the engine crashes when it begins to answer a prompt.
+func (e *Engine) crashesOn(prompt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn)
+}
+
+// crash kills a fake in place of the response to a request.
+func crash(ctx *fasthttp.RequestCtx, kill func() error) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_ = kill() // resets this connection too
+		_ = c.Close()
+	})
+}
+
 // takeStall returns the delay of EngineFaults.Stall and resets it.
 func (e *Engine) takeStall() time.Duration {
 	e.mu.Lock()
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -55,6 +55,9 @@
 func (f *Front) makeAttempt(c *chatRequest, body []byte, deadline time.Time, avoid []string) (attempt, *apierr.Error) {
 	c.attempts++
 	a := attempt{id: c.id + "." + itoa(c.attempts)}
+	if apiErr := f.checkQuarantine(c.traits, c.attempts); apiErr != nil {
+		return a, apiErr
+	}
 	grant, err := f.cfg.Daemon.WaitForGrant(f.ctx, kernel.Request{
 		ID:              a.id,
 		Service:         c.service.Name,
@@ -76,6 +79,7 @@
 	if err == nil {
 		a.firstToken, err = a.stream.Next(f.ctx)
 		if err == nil {
+			f.reportOutput(c.service.Name, c.traits)
 			return a, nil
 		}
 		a.stream.Close()
@@ -84,6 +88,7 @@
 			return a, nil
 		}
 	}
+	f.reportLost(c.service.Name, grant, c.traits, err)
 	return a, f.releaseFailed(a, err)
 }
 
--- a/front/chat.go
+++ b/front/chat.go
@@ -34,6 +34,7 @@
 	maxTokens    int                        // limit of the output tokens, stated when asking for a grant
 	stream       bool                       // the caller wants an event stream
 	attempts     int                        // made so far
+	traits       []uint64                   // what it may have in common with others that crash engines: itself, and the messages of its prompt but the last
 	fields       map[string]json.RawMessage // of the body
 }
 
@@ -108,6 +109,10 @@
 		c.maxTokens = defaultMaxTokens
 	}
 	c.measurePrompt(in)
+	c.traits = []uint64{traitOf("request", identity.Workspace, string(body))}
+	for _, m := range in.Messages[:len(in.Messages)-1] {
+		c.traits = append(c.traits, traitOf("message", string(m.Content)))
+	}
 	return c, nil
 }
 
--- a/front/plain.go
+++ b/front/plain.go
@@ -33,6 +33,7 @@
 	key        string             // idempotency key; empty for none
 	idempotent bool               // according to the service's document
 	outgoing   relay.PlainRequest // request to the endpoint
+	traits     []uint64           // what it has in common with others that crash endpoints: itself
 }
 
 // serveCall serves /v1/services/SERVICE/PATH, where rest is SERVICE/PATH.
@@ -104,6 +105,7 @@
 		ContentType:    string(ctx.Request.Header.ContentType()),
 		Body:           append([]byte(nil), ctx.PostBody()...),
 	}
+	c.traits = []uint64{traitOf("call", identity.Workspace, name, method, path, string(c.outgoing.Body))}
 	return c, nil
 }
 
@@ -167,6 +169,9 @@
 	if avoid != nil {
 		r.Avoid = *avoid
 	}
+	if apiErr := f.checkQuarantine(c.traits, n); apiErr != nil {
+		return relay.PlainResponse{}, apiErr
+	}
 	grant, err := f.cfg.Daemon.WaitForGrant(f.ctx, r)
 	if err != nil {
 		return relay.PlainResponse{}, asAPIError(err)
@@ -190,6 +195,11 @@
 		ended.Leaving = refused.Leaving
 	}
 	f.cfg.Daemon.ReportEnded(ended)
+	if err == nil {
+		f.reportOutput(c.service.Name, c.traits)
+	} else {
+		f.reportLost(c.service.Name, grant, c.traits, err)
+	}
 	return resp, callError(grant.Endpoint, err)
 }
 
--- /dev/null
+++ b/front/quarantine.go
@@ -0,0 +1,60 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/poison"
+	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/wait"
+	"github.com/valyala/fasthttp"
+)
+
+// traitOf returns a trait: the hash of texts that two requests may have in common.
+func traitOf(texts ...string) uint64 {
+	h := xxhash.New()
+	for _, text := range texts {
+		_, _ = h.WriteString(text + "\x00") // never fails
+	}
+	return h.Sum64()
+}
+
+// checkQuarantine returns an error if requests with the given traits are kept from endpoints.
+// It is called before attempt n. A retry of a request that may have crashed endpoints waits
+// until that has been judged.
+func (f *Front) checkQuarantine(traits []uint64, n int) *apierr.Error {
+	if n > 1 && poison.Of(f.cfg.Daemon.State()).Suspected(traits) {
+		wait.For(f.ctx, poison.JudgeTime)
+	}
+	state := f.cfg.Daemon.State()
+	left := poison.Of(state).Quarantined(time.Now(), member.Of(state), traits)
+	if left <= 0 {
+		return nil
+	}
+	return apierr.NotRun(fasthttp.StatusServiceUnavailable, apierr.CodeQuarantined, "requests like this one crash endpoints").WithRetryAfter(left)
+}
+
+// reportLost tells the kernel of a request that had no output before err, if its endpoint has
+// crashed. It works in the background.
+func (f *Front) reportLost(service string, grant kernel.Grant, traits []uint64, err error) {
+	var lost *relay.LostError
+	if !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	f.background(func(ctx context.Context) error {
+		if f.cfg.Relay.HasEnded(ctx, grant.Addr) {
+			f.cfg.Daemon.Post(ctx, kernel.EndpointCrashed{Endpoint: grant.Endpoint, Service: service, Requests: [][]uint64{traits}})
+		}
+		return nil
+	})
+}
+
+// reportOutput tells the kernel that a request has had output.
+func (f *Front) reportOutput(service string, traits []uint64) {
+	f.cfg.Daemon.Post(f.ctx, kernel.OutputSeen{Service: service, Traits: traits})
+}
