--- a/poison/poison.go
+++ b/poison/poison.go
@@ -41,7 +41,7 @@
 	joinTime       = 3 * time.Second        // after the start of a node in which it may not know which traits are established
 	settleTime     = 150 * time.Millisecond // after the first report of a crash, in which the nodes report the requests that ran there
 	crashTTL       = 5 * time.Minute        // for which a crash is evidence
-	gossipInterval = time.Second            // between two messages with the quarantines to a neighbour
+	gossipInterval = time.Second            // between two messages with the quarantines, each to another neighbour
 	minRestart     = time.Second            // between two crashes of an endpoint of which it is not known when its process started
 	maxCrashes     = 64                     // that are evidence; older ones are dropped
 	maxRequests    = 64                     // of one crash
@@ -92,7 +92,8 @@
 	recent      *traitMap  // had output at this node since rotatedAt
 	older       *traitMap  // had output at this node in the establishedTTL before
 	rotatedAt   time.Time  // when recent became older
-	gossipAt    time.Time  // when the neighbours were last told the quarantines
+	gossipAt    time.Time  // when a neighbour was last told the quarantines
+	gossips     int        // messages with the quarantines so far
 }
 
 // crash is the end of an endpoint's process while requests without output ran there.
@@ -147,7 +148,7 @@
 	return v, nil
 }
 
-// tick judges and drops old evidence, and tells the neighbours of the quarantines.
+// tick judges and drops old evidence, and tells a neighbour of the quarantines.
 func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
 	next := *v
 	if v.startedAt.IsZero() {
@@ -169,9 +170,12 @@
 				effects = append(effects, save(now, m, set, q)...)
 			}
 		}
-		next.gossipAt = now
+		next.gossipAt, next.gossips = now, v.gossips+1
 		next.quarantines = next.quarantines.without(now)
-		effects = append(effects, m.SendTo(m.Neighbours(), &wire.Frame{Body: &wire.Frame_Quarantines{Quarantines: next.quarantines.wire(now)}})...)
+		if ids := m.Neighbours(); len(ids) > 0 {
+			to := ids[v.gossips%len(ids)]
+			effects = append(effects, kernel.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Quarantines{Quarantines: next.quarantines.wire(now)}}})
+		}
 	}
 	return &next, effects
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -85,7 +85,7 @@
 func (n *network) quarantined(traits ...uint64) int {
 	count := 0
 	for i := range n.nodes {
-		if poison.Of(n.State(i)).Quarantined(n.Now(), member.Of(n.State(i)), traits) > 0 {
+		if n.isQuarantined(i, traits) {
 			count++
 		}
 	}
