--- a/poison/poison.go
+++ b/poison/poison.go
@@ -40,6 +40,7 @@
 	establishedTTL = time.Minute            // for which a trait is established at least after output
 	joinTime       = 3 * time.Second        // after the start of a node in which it may not know which traits are established
 	settleTime     = 150 * time.Millisecond // after the first report of a crash, in which the nodes report the requests that ran there
+	judgeInterval  = time.Second            // between two judgements without a new crash
 	crashTTL       = 5 * time.Minute        // for which a crash is evidence
 	gossipInterval = time.Second            // between two messages with the quarantines, each to another neighbour
 	minRestart     = time.Second            // between two crashes of an endpoint of which it is not known when its process started
@@ -94,6 +95,7 @@
 	rotatedAt   time.Time  // when recent became older
 	gossipAt    time.Time  // when a neighbour was last told the quarantines
 	gossips     int        // messages with the quarantines so far
+	judgedAt    time.Time  // when the evidence was last judged
 }
 
 // crash is the end of an endpoint's process while requests without output ran there.
@@ -161,7 +163,7 @@
 		next.crashes = v.crashes[1:]
 	}
 	var effects []kernel.Effect
-	if len(next.crashes) > 0 {
+	if next.mustJudge(now) {
 		effects = next.judge(now, m)
 	}
 	if len(next.quarantines) > 0 && now.Sub(v.gossipAt) >= gossipInterval {
@@ -239,8 +241,17 @@
 	return &next, next.quarantine(now, m, next.quarantines.relapsed(now, report.requests))
 }
 
+// mustJudge reports whether a crash has settled since the evidence was last judged, or output
+// may have changed what it shows.
+func (v *View) mustJudge(now time.Time) bool {
+	return len(v.crashes) > 0 && (now.Sub(v.judgedAt) >= judgeInterval || slices.ContainsFunc(v.crashes, func(c crash) bool {
+		return now.Sub(c.at) >= settleTime && v.judgedAt.Sub(c.at) < settleTime
+	}))
+}
+
 // judge quarantines what the crashes show of which all nodes have reported their requests.
 func (v *View) judge(now time.Time, m *member.View) []kernel.Effect {
+	v.judgedAt = now
 	settled := len(v.crashes)
 	for settled > 0 && now.Sub(v.crashes[settled-1].at) < settleTime {
 		settled--
