Know a generation that is sent again by its whole prompt too

Generations of one caller to one path may have the same body, so that their hash is established by sound ones. The hash together with all parts of the prompt is one more trait.

--- a/entry/poison.go
+++ b/entry/poison.go
@@ -44,11 +44,16 @@
 }
 
 // traitsOf returns what a request may have in common with others that crash endpoints: its
-// hash, and the parts of its prompt but the last, which is its own.
+// hash, its whole prompt, and the parts of the prompt but the last, which is its own.
 func traitsOf(rr *routedRequest) []uint64 {
 	traits := []uint64{rr.hash}
-	for i := 0; i+1 < len(rr.req.PromptParts); i++ {
-		traits = append(traits, xxhash.Sum64String("part "+rr.req.PromptParts[i]))
+	parts := rr.req.PromptParts
+	if len(parts) == 0 {
+		return traits
+	}
+	traits = append(traits, xxhash.Sum64String(fmt.Sprintf("prompt %016x %s", rr.hash, strings.Join(parts, ","))))
+	for _, part := range parts[:len(parts)-1] {
+		traits = append(traits, xxhash.Sum64String("part "+part))
 	}
 	return traits
 }
