--- a/entry/poison.go
+++ b/entry/poison.go
@@ -43,6 +43,20 @@
 	return text
 }
 
+// describeHashes describes the traits of a request for the log with their hashes, by which the
+// kernel names them.
+func (rr *routedRequest) describeHashes() string {
+	names := []string{"the request itself", "the request with its prompt"}
+	for _, part := range rr.req.PromptParts {
+		names = append(names, "part "+part)
+	}
+	var list []string
+	for i, t := range rr.traits {
+		list = append(list, fmt.Sprintf("%s %016x", names[i], t))
+	}
+	return strings.Join(list, ", ")
+}
+
 // traitsOf returns what a request may have in common with others that crash endpoints: its
 // hash, its whole prompt, and the parts of the prompt but the last, which is its own.
 func traitsOf(rr *routedRequest) []uint64 {
--- a/entry/poison_test.go
+++ b/entry/poison_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -22,6 +24,16 @@
 	return n
 }
 
+// TestTraitsAreNamed checks that the log names every trait of a request.
+func TestTraitsAreNamed(t *testing.T) {
+	rr := &routedRequest{req: &Request{PromptParts: []string{"p", "q", "r"}}}
+	rr.traits = traitsOf(rr)
+	text := rr.describeHashes()
+	qt.Assert(t, strings.Count(text, ", "), qt.Equals, len(rr.traits)-1)
+	qt.Assert(t, strings.HasSuffix(text, fmt.Sprintf("part q %016x", rr.traits[3])), qt.IsTrue, qt.Commentf("%s", text))
+	qt.Assert(t, text, qt.Not(qt.Contains), "part r")
+}
+
 // TestTraits checks which requests are alike in what may crash an endpoint.
 func TestTraits(t *testing.T) {
 	request := func(id, workspace, uri, body string, parts ...string) *routedRequest {
