Look for a crash also if one event of the stream had arrived

Two events clear the traits of a generation, as the first may leave an engine that is about to crash, but a crash after the first event was not looked for. TestEngineCrashesAfterFirstEvent sent 30 harmful requests without a quarantine before, and passes.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -344,7 +344,7 @@
 // checkCrash checks whether the engine has crashed that lost the generation, unless the
 // generation has had output.
 func (g *generation) checkCrash(err error) {
-	if g.events == 0 && g.routed.req.LastEventID == "" {
+	if g.events < minSoundEvents && g.routed.req.LastEventID == "" {
 		g.server.checkCrash(g.ctx, g.routed, g.endpoint, err)
 	}
 }
