Take a whole failure of an engine for output

An engine that responds with a failure has not crashed, which clears the traits of the request, like a whole response of a plain service. TestFailureOfEngineIsOutput failed before.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -245,6 +245,7 @@
 		return false
 	}
 	defer s.bodies.release(body)
+	s.reportOutput(g.routed)
 	s.recordOutcome(g.endpoint.ID, resp.Status < http.StatusInternalServerError)
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
