Save quarantines when there are any, and rename what read as two things

The loop that writes quarantines to the store woke five times a second for nothing; it now waits for one. In package poison, methods no longer share names with a type and a builtin.

--- a/entry/poison.go
+++ b/entry/poison.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -131,16 +132,7 @@
 
 // containsAll reports whether list holds all of the traits.
 func containsAll(list, traits []uint64) bool {
-	held := map[uint64]bool{}
-	for _, t := range list {
-		held[t] = true
-	}
-	for _, t := range traits {
-		if !held[t] {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(traits, func(t uint64) bool { return !slices.Contains(list, t) })
 }
 
 // reportOutput tells the kernel that a request has had output, which shows that requests like
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -82,12 +82,12 @@
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
 	recordWritten bool                     // this node's record may be in the store; used by Register only
 	failing       atomic.Bool              // the last list or watch failed
-	saver         saver
+	saver         *saver
 }
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: saver{pending: map[string]store.Write{}}}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver()}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
--- a/feed/quarantine.go
+++ b/feed/quarantine.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/plantaindeck/plantaindeck/kernel"
@@ -17,17 +16,51 @@
 )
 
 const (
-	quarantinePrefix  = "plantaindeck/quarantines/" // before a hash of the traits
-	saveCheckInterval = 200 * time.Millisecond      // between checks of whether there is something to save
-	maxSaved          = 32                          // writes of one transaction
+	quarantinePrefix = "plantaindeck/quarantines/" // before a hash of the traits
+	maxSaved         = 32                          // writes of one transaction
 )
 
 // saver holds the quarantines that are to be written to the store.
 type saver struct {
+	changed chan struct{} // holds a value if pending has changed
 	mu      sync.Mutex
 	pending map[string]store.Write // by key
 }
 
+func newSaver() *saver {
+	return &saver{changed: make(chan struct{}, 1), pending: map[string]store.Write{}}
+}
+
+// add adds writes. If replace is false, they are older than those that are pending.
+func (s *saver) add(replace bool, writes ...store.Write) {
+	s.mu.Lock()
+	for _, w := range writes {
+		if _, pending := s.pending[w.Key]; replace || !pending {
+			s.pending[w.Key] = w
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// take removes at most maxSaved writes and returns them.
+func (s *saver) take() []store.Write {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var writes []store.Write
+	for key, w := range s.pending {
+		if len(writes) == maxSaved {
+			break
+		}
+		writes = append(writes, w)
+		delete(s.pending, key)
+	}
+	return writes
+}
+
 // Save writes a quarantine to the store, or removes it, as soon as the store takes it. It
 // returns at once.
 func (f *Feed) Save(q kernel.SaveQuarantine) {
@@ -40,9 +73,7 @@
 		}
 		w.Value = value
 	}
-	f.saver.mu.Lock()
-	defer f.saver.mu.Unlock()
-	f.saver.pending[w.Key] = w
+	f.saver.add(true, w)
 }
 
 func quarantineKey(traits []uint64) string {
@@ -53,47 +84,34 @@
 func (f *Feed) SaveAll(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		backoff := saveCheckInterval
-		for wait.For(ctx, backoff) {
-			if err := f.savePending(ctx); err != nil {
-				f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
-				backoff = min(2*backoff, maxRetryBackoff)
-				continue
+		backoff := minRetryBackoff
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-f.saver.changed:
+				if err := f.savePending(ctx); err != nil {
+					f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
+					wait.For(ctx, backoff)
+					backoff = min(2*backoff, maxRetryBackoff)
+					continue
+				}
+				backoff = minRetryBackoff
 			}
-			backoff = saveCheckInterval
 		}
 		done <- nil
 	}()
 	return done
 }
 
-// savePending writes at most maxSaved quarantines.
+// savePending makes all pending writes. Those that fail stay pending.
 func (f *Feed) savePending(ctx context.Context) error {
-	f.saver.mu.Lock()
-	var writes []store.Write
-	for key, w := range f.saver.pending {
-		if len(writes) == maxSaved {
-			break
-		}
-		writes = append(writes, w)
-		delete(f.saver.pending, key)
-	}
-	f.saver.mu.Unlock()
-	if len(writes) == 0 {
-		return nil
-	}
-	_, err := f.cfg.Store.Commit(ctx, nil, writes)
-	if err == nil {
-		return nil
-	}
-	f.saver.mu.Lock()
-	defer f.saver.mu.Unlock()
-	for _, w := range writes {
-		if _, newer := f.saver.pending[w.Key]; !newer {
-			f.saver.pending[w.Key] = w
+	for writes := f.saver.take(); len(writes) > 0; writes = f.saver.take() {
+		if _, err := f.cfg.Store.Commit(ctx, nil, writes); err != nil {
+			f.saver.add(false, writes...)
+			return err
 		}
 	}
-	return err
+	return nil
 }
 
 // decodeQuarantine returns the quarantine of an entry of the store, or nil if the entry holds
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -75,7 +75,7 @@
 	return handle.Of(s)
 }
 
-// traitMap is a set of traits.
+// traitMap holds traits that requests with output had.
 type traitMap = immutable.Map[uint64, struct{}]
 
 // outputMap counts requests by service.
@@ -117,11 +117,11 @@
 		if len(e.Requests) == 0 {
 			return v, nil
 		}
-		report := bounded(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests})
+		report := truncated(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests})
 		next, effects := v.addCrash(now, m, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
-		next, cleared, effects := v.withOutput(e).clear(now, m, e.Traits)
+		next, cleared, effects := v.withOutput(e).clearTraits(now, m, e.Traits)
 		if len(cleared) > 0 {
 			effects = append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: cleared}}})...)
 		}
@@ -134,7 +134,7 @@
 		case *wire.Frame_Crash:
 			return v.addCrash(now, m, decodeCrash(body.Crash))
 		case *wire.Frame_Sound:
-			next, _, effects := v.clear(now, m, body.Sound.GetTraits())
+			next, _, effects := v.clearTraits(now, m, body.Sound.GetTraits())
 			return next, effects
 		case *wire.Frame_Quarantines:
 			next, merged, established, effects := v.merge(now, body.Quarantines.GetList())
@@ -209,8 +209,8 @@
 	return ok
 }
 
-// bounded returns a report with at most maxRequests requests and maxTraits traits of each.
-func bounded(c crash) crash {
+// truncated returns a report with at most maxRequests requests and maxTraits traits of each.
+func truncated(c crash) crash {
 	var list [][]uint64
 	for _, traits := range c.requests[:min(len(c.requests), maxRequests)] {
 		list = append(list, traits[:min(len(traits), maxTraits)])
@@ -238,7 +238,7 @@
 			next.crashes = next.crashes[1:]
 		}
 	}
-	return &next, next.quarantine(now, m, next.quarantines.relapsed(now, report.requests))
+	return &next, next.beginQuarantines(now, m, next.quarantines.relapsed(now, report.requests))
 }
 
 // mustJudge reports whether a crash has settled since the evidence was last judged, or output
@@ -262,11 +262,11 @@
 		isEstablished: v.isEstablished,
 		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
 	}
-	return v.quarantine(now, m, culprits(e, v.quarantines.active(now)))
+	return v.beginQuarantines(now, m, culprits(e, v.quarantines.active(now)))
 }
 
-// quarantine begins the next quarantine of each of the sets.
-func (v *View) quarantine(now time.Time, m *member.View, sets []traitSet) []kernel.Effect {
+// beginQuarantines begins the next quarantine of each of the sets.
+func (v *View) beginQuarantines(now time.Time, m *member.View, sets []traitSet) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, set := range sets {
 		q := v.quarantines.next(now, set)
@@ -277,9 +277,9 @@
 	return effects
 }
 
-// clear drops the suspicion of traits of a request that had output, and lifts the
+// clearTraits drops the suspicion of traits of a request that had output, and lifts the
 // quarantines that name them. It returns the traits that were suspected.
-func (v *View) clear(now time.Time, m *member.View, traits []uint64) (*View, []uint64, []kernel.Effect) {
+func (v *View) clearTraits(now time.Time, m *member.View, traits []uint64) (*View, []uint64, []kernel.Effect) {
 	var cleared []uint64
 	for _, t := range traits {
 		if v.suspects(t) {
@@ -404,5 +404,5 @@
 	for _, r := range w.GetRequests() {
 		c.requests = append(c.requests, r.GetTraits())
 	}
-	return bounded(c)
+	return truncated(c)
 }
