Hold back a retry apart from deciding on it in the front, and test which are held

checkQuarantine decided and waited. TestRetryIsSuspectedAfterTwoCrashes states of which requests a retry is held back. No behaviour changes.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -55,7 +55,8 @@
 func (f *Front) makeAttempt(c *chatRequest, body []byte, deadline time.Time, avoid []string) (attempt, *apierr.Error) {
 	c.attempts++
 	a := attempt{id: c.id + "." + itoa(c.attempts)}
-	if apiErr := f.checkQuarantine(c.traits, c.attempts); apiErr != nil {
+	f.holdSuspected(c.traits, c.attempts)
+	if apiErr := f.checkQuarantine(c.traits); apiErr != nil {
 		return a, apiErr
 	}
 	grant, err := f.cfg.Daemon.WaitForGrant(f.ctx, kernel.Request{
--- a/front/plain.go
+++ b/front/plain.go
@@ -169,7 +169,8 @@
 	if avoid != nil {
 		r.Avoid = *avoid
 	}
-	if apiErr := f.checkQuarantine(c.traits, n); apiErr != nil {
+	f.holdSuspected(c.traits, n)
+	if apiErr := f.checkQuarantine(c.traits); apiErr != nil {
 		return relay.PlainResponse{}, apiErr
 	}
 	grant, err := f.cfg.Daemon.WaitForGrant(f.ctx, r)
--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -24,13 +24,18 @@
 	return h.Sum64()
 }
 
-// checkQuarantine returns an error if requests with the given traits are kept from endpoints.
-// It is called before attempt n. A retry of a request that may have crashed endpoints waits
-// until that has been judged.
-func (f *Front) checkQuarantine(traits []uint64, n int) *apierr.Error {
+// holdSuspected waits before attempt n of a request that may have crashed endpoints in earlier
+// ones, until that has been judged. Load pattern: the retry would crash the next endpoint before
+// the nodes know the cause.
+func (f *Front) holdSuspected(traits []uint64, n int) {
 	if n > 1 && poison.Of(f.cfg.Daemon.State()).Suspected(traits) {
 		wait.For(f.ctx, poison.JudgeTime)
 	}
+}
+
+// checkQuarantine returns an error if requests with the given traits are kept from endpoints.
+// It is called before each attempt.
+func (f *Front) checkQuarantine(traits []uint64) *apierr.Error {
 	state := f.cfg.Daemon.State()
 	left := poison.Of(state).Quarantined(time.Now(), member.Of(state), traits)
 	if left <= 0 {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -151,6 +151,22 @@
 	qt.Assert(t, n.quarantined(bad), qt.Equals, 4)
 }
 
+// TestRetryIsSuspectedAfterTwoCrashes checks of which requests a retry is held back: those with
+// a trait that was lost in two crashes and is not established.
+func TestRetryIsSuspectedAfterTwoCrashes(t *testing.T) {
+	n := newNetwork(t, 4)
+	suspected := func(traits ...uint64) bool { return poison.Of(n.State(3)).Suspected(traits) }
+	n.Step(3, kernel.OutputSeen{Service: "model", Traits: []uint64{popular}})
+	n.crash(0, []uint64{popular, bad}, []uint64{popular, rare})
+	qt.Assert(t, suspected(popular, bad), qt.IsFalse)
+	n.crash(1, []uint64{popular, bad})
+	qt.Assert(t, suspected(popular, bad), qt.IsTrue)
+	qt.Assert(t, suspected(popular, rare), qt.IsFalse)
+	n.Step(2, kernel.OutputSeen{Service: "model", Traits: []uint64{bad}})
+	n.Run(spreadTime)
+	qt.Assert(t, suspected(popular, bad), qt.IsFalse)
+}
+
 // TestOutputClearsTraits checks that output at one node clears the traits of its request at
 // all nodes, before and after they were quarantined.
 func TestOutputClearsTraits(t *testing.T) {
