--- a/entry/call.go
+++ b/entry/call.go
@@ -135,9 +135,7 @@
 	var notSent *relay.NotSentError
 	var lost *relay.LostError
 	if errors.As(err, &notSent) || errors.As(err, &lost) && lost.BeforeResponse && !errors.Is(lost, context.DeadlineExceeded) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.usage.recordUnreachable(time.Now(), e.ID)
+		s.recordUnreachable(e.ID, err)
 	}
 }
 
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -106,28 +107,45 @@
 	}
 }
 
-func (t *usageTracker) recordOutcome(now time.Time, id string, ok bool) {
+// recordOutcome counts a request that succeeded or failed. It reports whether the endpoint
+// is reachable again.
+func (t *usageTracker) recordOutcome(now time.Time, id string, ok bool) bool {
 	st := t.stats(id)
 	st.decay(now)
-	if ok {
-		st.successes++
-		st.connectFailures, st.backoffUntil = 0, time.Time{}
-	} else {
+	if !ok {
 		st.failures++
 		t.changed = true
+		return false
 	}
+	back := st.connectFailures > 0
+	st.successes++
+	st.connectFailures, st.backoffUntil = 0, time.Time{}
+	return back
 }
 
 // recordUnreachable counts a connection that failed, or broke before a response, and
-// starts a backoff.
-func (t *usageTracker) recordUnreachable(now time.Time, id string) {
+// starts a backoff. It reports whether the endpoint counted as reachable before.
+func (t *usageTracker) recordUnreachable(now time.Time, id string) bool {
 	st := t.stats(id)
 	if now.Before(st.backoffUntil) {
-		return // of several connections that fail together, only the first counts
+		return false // of several connections that fail together, only the first counts
 	}
 	t.changed = true
+	first := st.connectFailures == 0
 	st.backoffUntil = now.Add(min(minConnectBackoff<<st.connectFailures, maxConnectBackoff))
 	st.connectFailures = min(st.connectFailures+1, 8)
+	return first
+}
+
+// unreachableCount returns the number of endpoints whose last connection failed.
+func (t *usageTracker) unreachableCount() int {
+	n := 0
+	for _, st := range t.endpoints {
+		if st.connectFailures > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 func (t *usageTracker) inBackoff(now time.Time, id string) bool {
@@ -172,9 +190,27 @@
 }
 
 func (s *Server) recordOutcome(id string, ok bool) {
+	s.mu.Lock()
+	back := s.usage.recordOutcome(time.Now(), id, ok)
+	s.mu.Unlock()
+	if back {
+		s.recordEndpoint("reachable", id, fmt.Sprintf("a request was served there again; %d endpoints are unreachable", s.unreachableCount()))
+	}
+}
+
+func (s *Server) recordUnreachable(id string, cause error) {
+	s.mu.Lock()
+	first := s.usage.recordUnreachable(time.Now(), id)
+	s.mu.Unlock()
+	if first {
+		s.recordEndpoint("unreachable", id, fmt.Sprintf("%v; %d endpoints are unreachable", cause, s.unreachableCount()))
+	}
+}
+
+func (s *Server) unreachableCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.usage.recordOutcome(time.Now(), id, ok)
+	return s.usage.unreachableCount()
 }
 
 // hasFullBurst reports whether a new limiter would allow no more than the present one.
