Let tests replace how a node connects to endpoints

The settings of a node take a dial function, as those for other nodes do already, so that a test can cut the paths of one node and leave those of the others.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -63,12 +63,7 @@
 // cannot carry bytes of the response to an earlier request. When ctx ends, the
 // connection is closed.
 func (c *Client) Exchange(ctx context.Context, r Request) (*Response, error) {
-	dialer := net.Dialer{
-		Timeout:         r.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
-		Control:         setUserTimeout,
-	}
-	conn, err := dialer.DialContext(ctx, "tcp", r.Addr)
+	conn, err := c.cfg.Dial(ctx, Target{Addr: r.Addr, Timeout: r.ConnectTimeout})
 	if err != nil {
 		return nil, &NotSentError{Addr: r.Addr, Err: err}
 	}
@@ -91,6 +86,17 @@
 	return resp, nil
 }
 
+// DialTCP connects to an endpoint. The connection fails when it is silent for userTimeout while
+// bytes are to be acknowledged.
+func DialTCP(ctx context.Context, t Target) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         t.Timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
+		Control:         setUserTimeout,
+	}
+	return dialer.DialContext(ctx, "tcp", t.Addr)
+}
+
 // HasEnded reports whether the process at an address has ended, after a connection to it broke:
 // nothing listens there any more.
 func (c *Client) HasEnded(ctx context.Context, addr string) bool {
@@ -98,7 +104,7 @@
 		if !wait.For(ctx, endCheckDelay) {
 			return false
 		}
-		if isClosed(ctx, addr) {
+		if c.isClosed(ctx, addr) {
 			return true
 		}
 	}
@@ -106,9 +112,8 @@
 }
 
 // isClosed reports whether nothing listens at an address.
-func isClosed(ctx context.Context, addr string) bool {
-	dialer := net.Dialer{Timeout: endCheckTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+func (c *Client) isClosed(ctx context.Context, addr string) bool {
+	conn, err := c.cfg.Dial(ctx, Target{Addr: addr, Timeout: endCheckTimeout})
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,8 +28,16 @@
 	idleConnTimeout     = 30 * time.Second
 )
 
+// Target is an endpoint to connect to.
+type Target struct {
+	Addr    string
+	Timeout time.Duration // for connecting; zero for no limit
+}
+
 // Config describes how endpoints are reached.
 type Config struct {
+	// Dial connects to an endpoint for an exchange. It is nil for DialTCP.
+	Dial         func(ctx context.Context, t Target) (net.Conn, error)
 	StallTimeout time.Duration // longest time without a byte from an endpoint; zero for no limit. Exchange has no such limit
 }
 
@@ -42,6 +50,9 @@
 
 // NewClient returns a client without connections.
 func NewClient(cfg Config) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = DialTCP
+	}
 	return &Client{cfg: cfg, hostClients: map[string]*fasthttp.HostClient{}}
 }
 
