--- a/entry/rest_test.go
+++ b/entry/rest_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/trace"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
@@ -77,7 +80,9 @@
 		"no response in time":     {&relay.LostError{Err: context.DeadlineExceeded, BeforeResponse: true}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &Server{usage: newUsageTracker()}
+			d, err := daemon.New(context.Background(), daemon.Config{Self: &wire.Member{Id: "127.0.0.1:0"}, Trace: trace.NewRecorder("n", 8), Metrics: metrics.NewSet()})
+			qt.Assert(t, err, qt.IsNil)
+			s := &Server{cfg: Config{Daemon: d}, usage: newUsageTracker()}
 			e, _ := fleet.Of(n.State(0)).Endpoint(ids[0])
 			now := time.Now()
 			s.recordFailure(context.Background(), e, test.err)
