Carry connections to endpoints through other nodes

Cause: a request reached an endpoint from the node of its caller only. The class: no path to an endpoint led through another node, neither of first attempts, retries, continued streams, copies, reports nor crash checks.

Change: relay connects through Config.Dial, and so does every path. The node itself keeps the request with its limits, retries and deadline.

Why it works: the only thing missing was the way of the bytes, and one function gives it to all callers.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,6 +55,8 @@
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Trace   *trace.Recorder
 	Metrics *metrics.Set
+	// OnStream serves a stream that another node has opened; see peer.Config. It may be nil.
+	OnStream func(ctx context.Context, from string, first *wire.Frame, s *peer.Stream)
 	// OnEndpointLeaving is called when the kernel learns that an endpoint is leaving or gone.
 	// The time goneAt is zero if it is not known. OnEndpointLeaving may be nil.
 	OnEndpointLeaving func(endpoint string, goneAt time.Time)
@@ -122,6 +124,7 @@
 			d.post(ctx, kernel.FrameReceived{From: from, Frame: f})
 		},
 		OnPeerLost: func(id string) { d.post(ctx, kernel.PeerLost{Peer: id}) },
+		OnStream:   cfg.OnStream,
 	})
 	return d, err
 }
@@ -363,6 +366,11 @@
 	d.post(context.Background(), e)
 }
 
+// OpenStream opens a stream to another node, which serves it by its Config.OnStream.
+func (d *Daemon) OpenStream(ctx context.Context, node string, first *wire.Frame) (*peer.Stream, error) {
+	return d.peers.OpenStream(ctx, node, first)
+}
+
 // AnnounceLeaving tells the kernel to announce that the node is leaving. The daemon
 // goes on serving until the context of Run ends.
 func (d *Daemon) AnnounceLeaving(ctx context.Context) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -128,8 +128,9 @@
 // turns resets its connections while its record still lists it, and each request that
 // may run only once is lost on it, at each node anew.
 func (s *Server) recordFailure(ctx context.Context, e fleet.Endpoint, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
+	var carrier *relay.CarrierError
+	if errors.Is(ctx.Err(), context.Canceled) || errors.As(err, &carrier) {
+		return // it says nothing about the endpoint
 	}
 	s.recordOutcome(e.ID, false)
 	var notSent *relay.NotSentError
@@ -155,7 +156,8 @@
 // belongs to another request.
 func (s *Server) sendAttempt(ctx context.Context, a Attempt, connectTimeout time.Duration) (*relay.Response, error) {
 	req := s.cfg.Dialect.Encode(a)
-	req.ConnectTimeout = connectTimeout
+	req.ConnectTimeout, req.Endpoint, req.RequestID = connectTimeout, a.Endpoint.ID, a.Request.ID
+	req.Started = a.ContinueFrom != nil
 	sentAt := time.Now()
 	resp, err := s.cfg.Relay.Exchange(ctx, req)
 	if err != nil {
@@ -174,7 +176,9 @@
 func (s *Server) checkResponse(now time.Time, a Attempt, sentAt time.Time, resp *relay.Response) error {
 	v := s.cfg.Dialect.Verdict(a, resp.Status, resp.Header)
 	if !v.AddressReused {
-		s.heedNotice(now, a.Endpoint, notice{leaving: v.Leaving, retryAfter: v.RetryAfter})
+		if rest := s.heedNotice(now, a.Endpoint, notice{leaving: v.Leaving, retryAfter: v.RetryAfter}); rest > 0 {
+			resp.ReportRest(rest)
+		}
 	}
 	// Refusals and failures may come from a part of the endpoint that knows no limit, so
 	// they do not lift one.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -21,6 +21,10 @@
 // endpoint that is leaving ends as planned, so it is not checked.
 func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
 	var lost *relay.LostError
+	var carrier *relay.CarrierError
+	if errors.As(err, &carrier) {
+		return
+	}
 	if ctx.Err() != nil && !wasAborted(ctx) || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
+	"github.com/plantaindeck/plantaindeck/carry"
 	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/member"
@@ -152,6 +153,7 @@
 type Config struct {
 	Daemon        *daemon.Daemon
 	Relay         *relay.Client
+	Carrier       *carry.Carrier // by which Relay connects to endpoints
 	Dialect       Dialect
 	Centre        string
 	Seed          uint64
@@ -231,6 +233,9 @@
 	return s.active
 }
 
+// Idle reports whether no request is in flight and no connection is carried for another node.
+func (s *Server) Idle() bool { return s.Active() == 0 && s.cfg.Carrier.Active() == 0 }
+
 func (s *Server) view() *fleet.View {
 	return fleet.Of(s.cfg.Daemon.State())
 }
--- a/entry/rest.go
+++ b/entry/rest.go
@@ -57,26 +57,28 @@
 	return notice{leaving: refused.Leaving, retryAfter: refused.RetryAfter}
 }
 
-// heedNotice makes this node heed what an endpoint said at the time now.
-func (s *Server) heedNotice(now time.Time, e fleet.Endpoint, n notice) {
+// heedNotice makes this node heed what an endpoint said at the time now. It returns how long
+// the endpoint wants no requests.
+func (s *Server) heedNotice(now time.Time, e fleet.Endpoint, n notice) time.Duration {
 	if n.leaving {
 		s.cfg.Daemon.Post(context.Background(), kernel.LeaveReported{Endpoint: e.ID, StartMillis: e.StartMillis})
 	}
 	if n.retryAfter == "" {
-		return
+		return 0
 	}
 	rest, err := restTime(n.retryAfter)
 	if err != nil {
 		s.recordEndpoint("rest-invalid", e.ID, err.Error())
 	}
 	if rest == 0 {
-		return
+		return 0
 	}
 	s.mu.Lock()
 	s.usage.setRest(e.ID, now.Add(rest))
 	s.mu.Unlock()
 	s.metrics.rests.Inc()
 	s.recordEndpoint("rest", e.ID, fmt.Sprintf("it refused a request and gets none for %s", rest))
+	return rest
 }
 
 // isResting reports whether an endpoint wants no requests from this node now.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -14,8 +14,10 @@
 // Drain begins the stop of the node: every response must have ended by deadline.
 // From now on the server rejects requests that may last longer, if another node
 // serves. If none does, as when all nodes are replaced in quick succession, it
-// accepts them for lateAcceptTime more: many will end in time.
+// accepts them for lateAcceptTime more: many will end in time. It carries no further
+// connections for other nodes.
 func (s *Server) Drain(now, deadline time.Time) {
+	s.cfg.Carrier.Drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopDeadline, s.lateAcceptUntil = deadline, now.Add(lateAcceptTime)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -173,6 +173,20 @@
 	return v.withReport(r), true
 }
 
+// EndpointsAt returns the known endpoints with an address, including those that are leaving.
+// Of two, one has ended and its address is used again.
+func (v *View) EndpointsAt(addr string) []Endpoint {
+	var list []Endpoint
+	for _, endpoints := range v.services {
+		for _, e := range endpoints {
+			if e.Addr == addr {
+				list = append(list, e)
+			}
+		}
+	}
+	return list
+}
+
 // GoneAt returns when an endpoint that reported itself as leaving will be gone, or
 // the zero time if that is unknown.
 func (v *View) GoneAt(id string) time.Time { return v.leaveReports[id].goneAt }
--- a/member/member.go
+++ b/member/member.go
@@ -214,6 +214,17 @@
 	return list
 }
 
+// OthersServing returns the ids of the other members to which callers may be sent.
+func (v *View) OthersServing() []string {
+	var ids []string
+	for id, p := range v.peers {
+		if id != v.self.GetId() && p.Member.GetState() == wire.State_ALIVE && p.Member.GetFront() != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Usable reports whether a member can be sent work: whether it is alive or only
 // suspected.
 func (v *View) Usable(id string) bool {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,9 @@
 // order in which they were sent; a large frame has a stream of its own, and
 // others may overtake it. A frame that cannot be sent is dropped.
 // Config.OnPeerLost tells the sender that a session could not be made or has ended.
+//
+// OpenStream opens a stream of its own in the session with a node, for frames that
+// belong together. It ends with the session.
 package peer
 
 import (
@@ -47,6 +50,9 @@
 	TLS     *tls.Config  // nil for plain TCP
 	// OnFrame is called with each received frame, by several goroutines.
 	OnFrame func(from string, f *wire.Frame)
+	// OnStream serves a stream that another node has opened with the given frame. The stream is
+	// closed when OnStream returns; ctx ends with the session. It is nil if the node serves none.
+	OnStream func(ctx context.Context, from string, first *wire.Frame, s *Stream)
 	// OnPeerLost is called when the session on which this node sends to a peer could not
 	// be made or has ended.
 	OnPeerLost func(peer string)
@@ -75,7 +81,13 @@
 type peerSession struct {
 	peer     string
 	outbox   chan *wire.Frame
-	lastUsed atomic.Int64 // when a frame was last queued or a small one received, nanoseconds since Transport.startTime
+	lastUsed atomic.Int64   // when a frame was last queued or a small one received, nanoseconds since Transport.startTime
+	up       chan struct{}  // closed when the session exists or could not be made
+	session  *yamux.Session // nil until up is closed, and if the session could not be made
+}
+
+func newPeerSession(peer string) *peerSession {
+	return &peerSession{peer: peer, outbox: make(chan *wire.Frame, maxOutboxFrames), up: make(chan struct{})}
 }
 
 // HelloError reports that the first frame of a session is not a Hello, or that it
@@ -246,7 +258,10 @@
 		return
 	}
 	_ = first.SetReadDeadline(time.Time{})
-	t.runAccepted(session, first, r, &peerSession{peer: from, outbox: make(chan *wire.Frame, maxOutboxFrames)})
+	ps := newPeerSession(from)
+	ps.session = session
+	close(ps.up)
+	t.runAccepted(session, first, r, ps)
 }
 
 // readHello returns the id of the node that opened a session. An error is a
@@ -277,9 +292,20 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	ps := t.sessionWith(to)
+	select {
+	case ps.outbox <- f:
+	default:
+		t.framesDropped.Inc()
+	}
+}
+
+// sessionWith returns the session to send on to a node, and dials the node if there is
+// none. The mutex is held.
+func (t *Transport) sessionWith(to string) *peerSession {
 	ps, ok := t.sessions[to]
 	if !ok {
-		ps = &peerSession{peer: to, outbox: make(chan *wire.Frame, maxOutboxFrames)}
+		ps = newPeerSession(to)
 		t.sessions[to] = ps
 		t.goroutines.Add(1)
 		go func() {
@@ -288,11 +314,7 @@
 		}()
 	}
 	t.markUsed(ps)
-	select {
-	case ps.outbox <- f:
-	default:
-		t.framesDropped.Inc()
-	}
+	return ps
 }
 
 // markUsed sets the time of the last use of a session to now.
@@ -304,6 +326,9 @@
 // ends.
 func (t *Transport) runDialled(ps *peerSession) {
 	defer t.removeSession(ps)
+	var established sync.Once
+	markUp := func() { established.Do(func() { close(ps.up) }) }
+	defer markUp()
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	conn, err := t.cfg.Dial(ctx, ps.peer)
 	cancel()
@@ -327,6 +352,8 @@
 	if _, err := protodelim.MarshalTo(stream, hello); err != nil {
 		return
 	}
+	ps.session = session
+	markUp()
 	t.exchangeFrames(session, stream, bufio.NewReader(stream), ps)
 }
 
@@ -364,7 +391,7 @@
 	ended := make(chan error, 3)
 	go func() { ended <- t.readFrames(stream, r, ps) }()
 	go func() { ended <- t.writeFrames(ctx, session, stream, ps) }()
-	go func() { ended <- t.readLargeFrames(ctx, session, ps) }()
+	go func() { ended <- t.acceptStreams(ctx, session, ps) }()
 	<-ended
 	cancel()
 	_ = session.Close()
@@ -385,19 +412,29 @@
 	}
 }
 
-// readLargeFrames delivers the large frames of a session, each of which has a
-// stream of its own.
-func (t *Transport) readLargeFrames(ctx context.Context, session *yamux.Session, ps *peerSession) error {
+// acceptStreams serves the streams that the other node opens in a session besides the first.
+func (t *Transport) acceptStreams(ctx context.Context, session *yamux.Session, ps *peerSession) error {
 	for {
 		stream, err := session.AcceptStreamWithContext(ctx)
 		if err != nil {
 			return err
 		}
-		f, err := readFrame(bufio.NewReader(stream))
-		if err == nil {
-			t.cfg.OnFrame(ps.peer, f)
-		}
-		_ = stream.Close()
+		t.goroutines.Go(func() { t.serveStream(ctx, stream, ps) })
+	}
+}
+
+// serveStream delivers the large frame that a stream carries, or lets Config.OnStream serve it.
+func (t *Transport) serveStream(ctx context.Context, stream *yamux.Stream, ps *peerSession) {
+	s := newStream(stream)
+	defer s.Close()
+	f, err := s.Receive()
+	if err != nil {
+		return
+	}
+	if _, ok := f.GetBody().(*wire.Frame_Carry); !ok {
+		t.cfg.OnFrame(ps.peer, f)
+	} else if t.cfg.OnStream != nil {
+		t.cfg.OnStream(ctx, ps.peer, f, s)
 	}
 }
 
@@ -412,7 +449,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-idle.C:
-			if now.Sub(t.startTime)-time.Duration(ps.lastUsed.Load()) > idleTimeout {
+			if session.NumStreams() <= 1 && now.Sub(t.startTime)-time.Duration(ps.lastUsed.Load()) > idleTimeout {
 				return errors.New("session is idle")
 			}
 		case f := <-ps.outbox:
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -31,6 +31,9 @@
 type Request struct {
 	Addr           string
 	ConnectTimeout time.Duration // zero for no limit
+	Endpoint       string        // id of the endpoint; empty for whatever process has the address
+	Started        bool          // the request goes on with a run, so that the endpoint may be leaving
+	RequestID      string        // of the caller's request, for logs; empty for none
 	Method         string
 	Host           string // value of the Host header
 	URI            string // path and query, not normalised
@@ -49,6 +52,7 @@
 	UntilClose bool
 	body       io.ReadCloser
 	close      func()
+	rest       func(d time.Duration) // nil unless another node carries the exchange
 }
 
 // Read implements io.Reader.
@@ -58,12 +62,25 @@
 // still runs the request can notice.
 func (r *Response) Close() { r.close() }
 
+// ReportRest tells the node that carries the exchange, if one does, that the endpoint wants no
+// requests from it for a time.
+func (r *Response) ReportRest(d time.Duration) {
+	if r.rest != nil {
+		r.rest(d)
+	}
+}
+
+// resting is a connection that another node carries.
+type resting interface {
+	ReportRest(d time.Duration)
+}
+
 // Exchange sends a request over a new connection and returns the response once
 // its header has been read. Connections are not reused, so that a connection
 // cannot carry bytes of the response to an earlier request. When ctx ends, the
 // connection is closed.
 func (c *Client) Exchange(ctx context.Context, r Request) (*Response, error) {
-	conn, err := c.cfg.Dial(ctx, Target{Addr: r.Addr, Timeout: r.ConnectTimeout})
+	conn, err := c.cfg.Dial(ctx, Target{Addr: r.Addr, Timeout: r.ConnectTimeout, Endpoint: r.Endpoint, Started: r.Started, Request: r.RequestID})
 	if err != nil {
 		return nil, &NotSentError{Addr: r.Addr, Err: err}
 	}
@@ -74,6 +91,10 @@
 	if err != nil {
 		stop()
 		closeConn()
+		var carrier *CarrierError
+		if errors.As(err, &carrier) && carrier.Unsent {
+			return nil, &NotSentError{Addr: r.Addr, Err: err}
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -83,6 +104,9 @@
 		stop()
 		closeConn()
 	}
+	if c, ok := conn.(resting); ok {
+		resp.rest = c.ReportRest
+	}
 	return resp, nil
 }
 
@@ -113,7 +137,7 @@
 
 // isClosed reports whether nothing listens at an address.
 func (c *Client) isClosed(ctx context.Context, addr string) bool {
-	conn, err := c.cfg.Dial(ctx, Target{Addr: addr, Timeout: endCheckTimeout})
+	conn, err := c.cfg.Dial(ctx, Target{Addr: addr, Timeout: endCheckTimeout, Started: true})
 	if err == nil {
 		_ = conn.Close()
 	}
@@ -149,7 +173,8 @@
 	br := bufio.NewReader(limited)
 	for range maxResponseHeads {
 		resp, err := http.ReadResponse(br, req)
-		if err != nil {
+		var carrier *CarrierError
+		if err != nil && !errors.As(err, &carrier) {
 			select {
 			case writeErr := <-written:
 				if writeErr != nil {
@@ -157,6 +182,8 @@
 				}
 			default:
 			}
+		}
+		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,8 +30,11 @@
 
 // Target is an endpoint to connect to.
 type Target struct {
-	Addr    string
-	Timeout time.Duration // for connecting; zero for no limit
+	Addr     string
+	Timeout  time.Duration // for connecting; zero for no limit
+	Endpoint string        // id; empty for whatever process has the address
+	Started  bool          // no new request is sent there: the endpoint may be leaving
+	Request  string        // id of the caller's request, for logs; empty for none
 }
 
 // Config describes how endpoints are reached.
@@ -166,6 +169,22 @@
 	return &LostError{Addr: addr, Err: err}
 }
 
+// CarrierError says that the node that carried the connection to an endpoint failed, which says
+// nothing about the endpoint.
+type CarrierError struct {
+	Node   string
+	Unsent bool // the endpoint has received nothing
+	Err    error
+}
+
+// Error describes the node and the cause.
+func (e *CarrierError) Error() string {
+	return fmt.Sprintf("node %s, which carried the connection, failed: %v", e.Node, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CarrierError) Unwrap() error { return e.Err }
+
 // PlainResponse is the response of a plain service.
 type PlainResponse struct {
 	Status      int
