Divide the slots of brittle endpoints among the nodes

Endpoints may say that they fall over if they reject more than some requests in a second for want of room (LIMIT). No code read that, and nodes that place requests at the same time, retry, or fill the queue of an endpoint bring about far more rejections.

A response that says so is noted and spread with the usage. The nodes of a load group then divide the slots of the endpoint, on all paths that choose one; a request to a plain service waits up to half its latency objective for a slot; and after a rejection no node sends it anything for a while. Generations fill such an engine's memory only as far as new ones do.

--- a/entry/call.go
+++ b/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 const (
@@ -35,7 +36,11 @@
 	for ctx.Err() == nil {
 		e, c, ok := s.reserveEndpoint(time.Now(), s.view(), selection{service: rr.service, centre: s.cfg.Centre, avoid: rr.tried, use: usage{requests: 1}})
 		if !ok {
-			if rest := s.restOfAll(time.Now(), s.view(), rr.service.Name, nil); rest > 0 && !rr.mayHaveRun {
+			rest := s.restOfAll(time.Now(), s.view(), rr.service.Name, nil)
+			if rest > 0 && rest <= brittleCheck && time.Since(rr.req.Arrived) < rr.slotWait() && wait.For(ctx, rest) {
+				continue
+			}
+			if rest > 0 && !rr.mayHaveRun {
 				return s.restError(rr, rest)
 			}
 			break
@@ -186,6 +191,9 @@
 	if !v.AddressReused && !v.OtherRequest && (v.RateLimit != "" || ran) {
 		s.heedRateLimit(a.Endpoint, v.RateLimit, sentAt)
 	}
+	if !v.AddressReused && !v.OtherRequest {
+		s.heedBrittle(now, a.Endpoint, v, sentAt)
+	}
 	switch {
 	case v.OtherRequest:
 		return &relay.LostError{Addr: a.Endpoint.Addr, Err: errors.New("the response belongs to another request")}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,6 +115,7 @@
 	Leaving       bool   // the endpoint says that it is leaving
 	RetryAfter    string // of a refusal: seconds for which the endpoint wants no requests from this node; empty for none
 	RateLimit     string // requests a second that the endpoint takes from all nodes together; empty for no limit
+	Brittle       string // requests that the endpoint may reject in a second, for want of room, before it falls over; empty if it is not brittle
 }
 
 // LeaveNotice is an engine's answer to whether it is leaving.
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -208,8 +208,8 @@
 		Age:         now.Sub(seg.startedAt),
 		Events:      seg.events,
 		SinceNotice: now.Sub(noticedAt),
-		HasBackup:   listed && !backup.Leaving && s.usage.closedFor(now, view, backup.ID) == 0,
-		Copyable:    seg.copyable && s.usage.closedFor(now, view, seg.endpoint.ID) == 0,
+		HasBackup:   listed && !backup.Leaving && s.usage.closedFor(now, view, backup) == 0,
+		Copyable:    seg.copyable && s.usage.closedFor(now, view, seg.endpoint) == 0,
 		Planned:     seg.planned,
 		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
 	}
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -89,8 +89,8 @@
 }
 
 // closedFor returns how much longer an endpoint takes no request from this node.
-func (t *usageTracker) closedFor(now time.Time, view *fleet.View, id string) time.Duration {
-	return max(t.restLeft(now, id), t.limitWait(now, view, id))
+func (t *usageTracker) closedFor(now time.Time, view *fleet.View, e fleet.Endpoint) time.Duration {
+	return max(t.restLeft(now, e.ID), t.limitWait(now, view, e.ID), t.brittleWait(now, view, e))
 }
 
 // takeCall counts a call of this node against an endpoint's rate limit. It reports false
--- a/entry/rest.go
+++ b/entry/rest.go
@@ -99,7 +99,7 @@
 		if e.Leaving || version != nil && e.Version != *version {
 			continue
 		}
-		left := s.usage.closedFor(now, view, e.ID)
+		left := s.usage.closedFor(now, view, e)
 		if left == 0 {
 			return 0
 		}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -43,27 +43,26 @@
 	successes       float64 // decayed count of successes
 	failures        float64 // decayed count of failures
 	decayedAt       time.Time
-	connectFailures int           // consecutive ones
-	backoffUntil    time.Time     // until then the endpoint is chosen only if there is no other
-	restUntil       time.Time     // until then the endpoint wants no requests from this node
+	connectFailures int       // consecutive ones
+	backoffUntil    time.Time // until then the endpoint is chosen only if there is no other
+	restUntil       time.Time // until then the endpoint wants no requests from this node
+	brittle         brittleness
 	limiter         *rate.Limiter // keeps this node's share of the endpoint's rate limit; nil if it has had none
 }
 
 // toWire returns the message that tells other nodes of the usage and outcomes.
 func (st *endpointStats) toWire(now time.Time, id string) *wire.Use {
-	unreachable := 0
-	if now.Before(st.backoffUntil) {
-		unreachable = 1
-	}
 	u := fleet.EndpointUsage{
-		Unreachable:   unreachable,
 		Requests:      max(st.requests, 0),
 		Tokens:        max(st.tokens, 0),
 		PendingPrompt: max(st.prompt, 0),
 		Successes:     int(st.successes * outcomeScale),
 		Failures:      int(st.failures * outcomeScale),
 	}
-	return u.Wire(id)
+	w := u.Wire(id)
+	w.Unreachable = now.Before(st.backoffUntil)
+	w.Brittle, w.Full = st.brittle.states(now), st.brittle.full(now)
+	return w
 }
 
 // usage is what this node runs on an endpoint, or a change of that.
@@ -235,7 +234,7 @@
 	}
 	for id, st := range s.usage.endpoints {
 		st.decay(now)
-		if u := st.toWire(now, id); st.requests > 0 || st.tokens > 0 || u.Bad > 0 {
+		if u := st.toWire(now, id); st.requests > 0 || st.tokens > 0 || u.Bad > 0 || u.Brittle {
 			report.Uses = append(report.Uses, u)
 		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) {
 			delete(s.usage.endpoints, id)
@@ -282,7 +281,11 @@
 	var candidates []place.Candidate
 	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid) {
 		c := s.candidate(now, view, sel.service, e, sel.centre)
-		if sel.maxFill == 0 || place.Fits(sel.need, c, sel.maxFill) {
+		maxFill := sel.maxFill
+		if s.usage.isBrittle(now, view, e.ID) {
+			maxFill = min(maxFill, place.MaxFillNew)
+		}
+		if maxFill == 0 || place.Fits(sel.need, c, maxFill) {
 			endpoints = append(endpoints, e)
 			candidates = append(candidates, c)
 		}
@@ -324,7 +327,7 @@
 	var ready, inBackoff []fleet.Endpoint
 	for _, e := range s.consideredEndpoints(view, service, version) {
 		switch {
-		case e.Leaving || slices.Contains(avoid, e.ID) || s.usage.closedFor(now, view, e.ID) > 0:
+		case e.Leaving || slices.Contains(avoid, e.ID) || s.usage.closedFor(now, view, e) > 0:
 		case s.usage.inBackoff(now, e.ID) || view.RemoteUsage(e.ID).Unreachable >= minUnreachable:
 			inBackoff = append(inBackoff, e)
 		default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/owner"
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
@@ -109,6 +110,8 @@
 	leaveReports  map[string]leaveReport   // by endpoint
 	limits        map[string]rateLimit     // by endpoint
 	shares        map[string]RateShare     // of the limits that count, by endpoint
+	self          string                   // id of this node
+	sharers       []string                 // sorted ids of the nodes that divide the slots of brittle endpoints, this one included
 	mixedAt       map[string]time.Time     // when endpoints of more than one version were last listed, by service
 }
 
@@ -131,6 +134,8 @@
 	Successes     int // recent requests that succeeded, tenths
 	Failures      int // recent requests that failed, tenths
 	Unreachable   int // nodes whose last connection to it failed a moment ago
+	Brittle       int // nodes to which it said in its last response that it is brittle
+	Full          int // nodes of which it rejected a request a moment ago while it was brittle
 }
 
 // differs reports whether the difference between u and the usage sent before is
@@ -218,6 +223,21 @@
 // LoadGroup returns the load group of this node.
 func (v *View) LoadGroup() LoadGroup { return v.group }
 
+// SlotShare returns how many requests this node may run on an endpoint at once if the nodes of
+// its load group divide the slots. Load pattern: nodes that learn of each other's requests some
+// milliseconds late all use the same free slot, and the endpoint must reject all but one.
+func (v *View) SlotShare(e Endpoint) int {
+	nodes := len(v.sharers)
+	if nodes == 0 {
+		return e.Slots
+	}
+	share := e.Slots / nodes
+	if owner.InTopN(e.ID, v.self, e.Slots%nodes, v.sharers) {
+		share++
+	}
+	return share
+}
+
 // LastStoreContact returns when the store last responded to any node, as far as this
 // node knows.
 func (v *View) LastStoreContact() time.Time { return v.lastContact }
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -33,6 +33,26 @@
 	qt.Assert(t, shareOf(5, "i-1", "gone", []string{"a"}), qt.Equals, RateShare{})
 }
 
+// TestSlotSharesAddUp checks that the nodes divide all slots of an endpoint and no more.
+func TestSlotSharesAddUp(t *testing.T) {
+	for _, count := range []int{1, 4, 8, 24} {
+		v := &View{}
+		for i := range count {
+			v.sharers = append(v.sharers, fmt.Sprintf("10.0.0.%d:7000", 10+i))
+		}
+		for _, slots := range []int{1, 6, 24} {
+			sum := 0
+			for _, v.self = range v.sharers {
+				sum += v.SlotShare(Endpoint{ID: "i-1", Slots: slots})
+			}
+			qt.Assert(t, sum, qt.Equals, slots)
+		}
+		v.self = "gone"
+		qt.Assert(t, v.SlotShare(Endpoint{ID: "i-1", Slots: 0}), qt.Equals, 0)
+	}
+	qt.Assert(t, (&View{}).SlotShare(Endpoint{ID: "i-1", Slots: 6}), qt.Equals, 6)
+}
+
 // TestLimitAfterResponse checks which responses change a limit. Responses to requests
 // that were sent before the limit was known neither raise nor lift it.
 func TestLimitAfterResponse(t *testing.T) {
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -281,6 +281,8 @@
 	next := *v
 	next.group = loadGroupOf(m)
 	next.divideLimits(m)
+	// Members on hold serve callers, as in divideLimits.
+	next.self, next.sharers = m.Self().GetId(), loadGroupAmong(m, m.UsableIDs()).Nodes()
 	var effects []kernel.Effect
 	if now.Sub(v.digestSentAt) >= digestInterval {
 		next.digestSentAt = now
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -72,12 +72,10 @@
 }
 
 func decodeUse(u *wire.Use) EndpointUsage {
-	unreachable := 0
-	if u.GetUnreachable() {
-		unreachable = 1
-	}
 	return EndpointUsage{
-		Unreachable:   unreachable,
+		Unreachable:   countIf(u.GetUnreachable()),
+		Brittle:       countIf(u.GetBrittle()),
+		Full:          countIf(u.GetFull()),
 		Requests:      int(u.GetRequests()),
 		Tokens:        int(u.GetTokens()),
 		PendingPrompt: int(u.GetPrompt()),
@@ -86,11 +84,20 @@
 	}
 }
 
+func countIf(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Wire returns the usage of the endpoint with the given id as a message.
 func (u EndpointUsage) Wire(id string) *wire.Use {
 	return &wire.Use{
 		Endpoint:    id,
 		Unreachable: u.Unreachable > 0,
+		Brittle:     u.Brittle > 0,
+		Full:        u.Full > 0,
 		Requests:    uint32(u.Requests),
 		Tokens:      uint32(u.Tokens),
 		Prompt:      uint32(u.PendingPrompt),
@@ -179,6 +186,8 @@
 		s.Requests += sign * u.Requests
 		s.Tokens += sign * u.Tokens
 		s.PendingPrompt += sign * u.PendingPrompt
+		s.Brittle += sign * u.Brittle
+		s.Full += sign * u.Full
 		if p.sameCentre {
 			s.Successes += sign * u.Successes
 			s.Failures += sign * u.Failures
