--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -68,7 +68,6 @@
 	down      map[string]bool // addresses where nothing listens
 	connected map[string]int  // connections to endpoints, by node
 	obstacle  wire.Obstacle   // of all carriers
-	delay     time.Duration   // of a request on its way to its carrier, by which it seems to have been paused
 	rests     []time.Duration // that carriers were told
 	received  int             // bytes at all endpoints
 }
