Try endpoints again that answer no connection for a moment

A sound endpoint may be silent for a second. Now a request tries them again every 100 ms, as long as one has not been silent for more than 1.5 s; endpoints that refuse connections, or are silent for longer, still fail it at once.

--- a/carry/dial.go
+++ b/carry/dial.go
@@ -27,6 +27,7 @@
 	Direct  error    // of the connection by this node; nil if none was tried
 	Answers []string // of other nodes
 	Ended   bool     // nothing listens at the address, as nodes in touch with endpoints found
+	Silent  bool     // the endpoint did not answer, and nobody found anything else
 }
 
 // Error lists the causes.
@@ -107,7 +108,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-late.C:
-			return nil, &d.failure
+			return nil, d.fail()
 		case now := <-hedge.C:
 			if hedges++; hedges <= maxHedges {
 				d.ask(ctx, now)
@@ -123,8 +124,13 @@
 			}
 		}
 	}
-	d.failure.Ended = d.findings.ended()
-	return nil, &d.failure
+	return nil, d.fail()
+}
+
+// fail returns the error of a call for which no way has succeeded.
+func (d *dialling) fail() error {
+	d.failure.Ended, d.failure.Silent = d.findings.ended(), d.findings.silent()
+	return &d.failure
 }
 
 // abandon closes the connections that are still being established, once they are.
@@ -192,7 +198,9 @@
 	d.failure.Direct = r.err
 	d.carrier.mu.Lock()
 	defer d.carrier.mu.Unlock()
-	d.findings = d.findings.withDirect(errors.Is(r.err, syscall.ECONNREFUSED), d.carrier.paths.isolated())
+	var netErr net.Error
+	timedOut := errors.Is(r.err, context.DeadlineExceeded) || errors.As(r.err, &netErr) && netErr.Timeout()
+	d.findings = d.findings.withDirect(errors.Is(r.err, syscall.ECONNREFUSED), timedOut, d.carrier.paths.isolated())
 }
 
 // dialThrough asks a node to connect to an endpoint.
--- a/carry/findings.go
+++ b/carry/findings.go
@@ -8,6 +8,7 @@
 // say nothing about it.
 type findings struct {
 	direct      bool // this node has tried, and is not isolated
+	silentHere  bool // this node got no answer
 	refusedHere bool // nothing listens there, as this node found
 	refused     int  // nodes in touch that found that nothing listens there, without this one
 	unreachable int  // nodes in touch that got no answer, without this one
@@ -16,8 +17,8 @@
 }
 
 // withDirect returns the findings with that of this node.
-func (f findings) withDirect(refused, isolated bool) findings {
-	f.direct, f.refusedHere = !isolated, refused && !isolated
+func (f findings) withDirect(refused, silent, isolated bool) findings {
+	f.direct, f.silentHere, f.refusedHere = !isolated, silent, refused && !isolated
 	return f
 }
 
@@ -41,6 +42,11 @@
 	return f.leaving || f.unreachable >= 2 || f.unreachable == 1 && f.direct
 }
 
+// silent reports whether the endpoint did not answer, and no node found anything else.
+func (f findings) silent() bool {
+	return !f.leaving && f.refused == 0 && (f.silentHere || f.unreachable > 0)
+}
+
 // ended reports whether nothing listens at the address any more. That takes another node in
 // touch, unless there is no other.
 func (f findings) ended() bool {
--- a/entry/call.go
+++ b/entry/call.go
@@ -43,6 +43,9 @@
 			if rest > 0 && !rr.mayHaveRun {
 				return s.restError(rr, rest)
 			}
+			if s.awaitSilent(ctx, rr, cause) {
+				continue
+			}
 			break
 		}
 		if attempts+refusals > 0 && !s.allowRetry(rr) {
--- a/entry/room.go
+++ b/entry/room.go
@@ -50,6 +50,10 @@
 			g.lastErr = errors.Errorf("no engine takes requests for %s", rest.Round(time.Millisecond))
 			return fleet.Endpoint{}, false
 		}
+		if s.awaitSilent(g.ctx, rr, g.lastErr) {
+			sel.avoid = nil
+			continue
+		}
 		if !now.Before(until) || !wait.For(g.ctx, roomCheckInterval) {
 			s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
 			g.lastErr = errors.New("no engine has room")
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -44,6 +44,7 @@
 	failures        float64 // decayed count of failures
 	decayedAt       time.Time
 	connectFailures int       // consecutive ones
+	lostAt          time.Time // when the first of them happened
 	backoffUntil    time.Time // until then the endpoint is chosen only if there is no other
 	restUntil       time.Time // until then the endpoint wants no requests from this node
 	brittle         brittleness
@@ -131,6 +132,9 @@
 	}
 	t.changed = true
 	first := st.connectFailures == 0
+	if first {
+		st.lostAt = now
+	}
 	st.backoffUntil = now.Add(min(minConnectBackoff<<st.connectFailures, maxConnectBackoff))
 	st.connectFailures = min(st.connectFailures+1, 8)
 	return first
