Let keep-alive probes and TCP_USER_TIMEOUT give up at the same time

TCP_USER_TIMEOUT, where it is set, also decides when keep-alive probes give up. We set 4 s, and probes that stated 6 s (2 s idle, two of 2 s): an idle connection failed after 4 s, unlike the options said.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,18 +13,17 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/wait"
 )
 
 const (
-	maxHeaderSize     = 64 << 10        // bytes of all response headers of one exchange
-	writeBufferSize   = 4 << 10         // bytes
-	maxResponseHeads  = 4               // responses of one exchange, the interim ones (1xx) included
-	userTimeout       = 4 * time.Second // for sent bytes to be acknowledged
-	keepAliveInterval = 2 * time.Second
-	endChecks         = 3                     // whether a process has ended
-	endCheckDelay     = 15 * time.Millisecond // before each of them, as the listener may close after the connections
-	endCheckTimeout   = 300 * time.Millisecond
+	maxHeaderSize    = 64 << 10              // bytes of all response headers of one exchange
+	writeBufferSize  = 4 << 10               // bytes
+	maxResponseHeads = 4                     // responses of one exchange, the interim ones (1xx) included
+	endChecks        = 3                     // whether a process has ended
+	endCheckDelay    = 15 * time.Millisecond // before each of them, as the listener may close after the connections
+	endCheckTimeout  = 300 * time.Millisecond
 )
 
 // Request is a request that is sent without changes to its URI, header and body.
@@ -110,15 +109,9 @@
 	return resp, nil
 }
 
-// DialTCP connects to an endpoint. The connection fails when it is silent for userTimeout while
-// bytes are to be acknowledged.
+// DialTCP connects to an endpoint.
 func DialTCP(ctx context.Context, t Target) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:         t.Timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
-		Control:         setUserTimeout,
-	}
-	return dialer.DialContext(ctx, "tcp", t.Addr)
+	return socket.Dialer(t.Timeout).DialContext(ctx, "tcp", t.Addr)
 }
 
 // HasEnded reports whether the process at an address has ended, after a connection to it broke:
--- /dev/null
+++ b/socket/socket.go
@@ -0,0 +1,50 @@
+// Package socket sets how long a TCP connection may be silent before it fails.
+//
+// TCP_USER_TIMEOUT bounds the time for which sent bytes may be unacknowledged. Where it is set,
+// it also decides when keep-alive probes give up, whatever their number, so that the options
+// are chosen to agree: a connection fails after Timeout without an acknowledgement, whether it
+// has bytes to send or not. Load pattern: in a partition, or when a connection falls silent
+// without a reset, neither side would notice for many minutes.
+package socket
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	Timeout       = 4 * time.Second // longer than a process or a link is silent that is sound
+	probeIdle     = 2 * time.Second // without a byte until the first keep-alive probe
+	probeInterval = time.Second
+	probeCount    = int((Timeout - probeIdle) / probeInterval)
+)
+
+// Dialer returns a dialer whose connections fail after Timeout of silence. Connecting takes at
+// most connectTimeout; zero for no limit.
+func Dialer(connectTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+}
+
+// ListenConfig returns a configuration of listeners whose connections fail after Timeout of
+// silence.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var setErr error
+	err := c.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
