Notice sessions between nodes that fall silent

Sessions between nodes had neither a keep-alive nor TCP_USER_TIMEOUT of ours: one that fell silent without a reset lost what was sent on it until TCP gave up after minutes, while other nodes went on to vouch for the peer. Carried connections depend on them now. They fail after 4 s of silence, as those to endpoints, and the next frame opens a new one. Shown by TestOptionsAgree for the options only: loopback loses no packets.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/wire"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -105,7 +106,7 @@
 // Listen opens the address that other nodes connect to. Sessions are accepted
 // after Run, until ctx ends or Close is called.
 func Listen(ctx context.Context, cfg Config) (*Transport, error) {
-	ln, err := net.Listen("tcp", cfg.Self.GetId())
+	ln, err := socket.ListenConfig().Listen(ctx, "tcp", cfg.Self.GetId())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers on %s", cfg.Self.GetId())
 	}
@@ -133,8 +134,7 @@
 }
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", addr)
+	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 }
 
 // Sessions returns the number of peers with a session to send on, or the number
