Carry connections of nodes in deployments of the product's own too

The front sends to the endpoints of documents from the node that the caller chose only: the same class as RECOVER on the users' platform. Its client connects through the same function now. Connections are not kept for longer than a minute, so that those through other nodes end after a cut, and a node that stops waits for those that it carries.

--- a/entry/carry.go
+++ b/entry/carry.go
@@ -3,36 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"time"
 
-	"github.com/plantaindeck/plantaindeck/carry"
-	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/fleet"
-	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/peer"
-	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
-// NewCarrier returns the Carrier of a node, which connects directly by dial; nil for TCP.
-func NewCarrier(d *daemon.Daemon, dial func(ctx context.Context, t relay.Target) (net.Conn, error), seed uint64) *carry.Carrier {
-	if dial == nil {
-		dial = relay.DialTCP
-	}
-	return carry.New(carry.Config{
-		Dial: dial,
-		Open: func(ctx context.Context, node string, first *wire.Frame) (carry.Stream, error) {
-			return d.OpenStream(ctx, node, first)
-		},
-		Nodes:   func() []string { return member.Of(d.State()).OthersServing() },
-		Record:  d.Record,
-		Metrics: d.Metrics(),
-		Seed:    seed,
-	})
-}
-
 // ServeStream carries a connection for another node, which has opened the stream.
 func (s *Server) ServeStream(ctx context.Context, first *wire.Frame, st *peer.Stream) {
 	s.cfg.Carrier.Serve(ctx, first.GetCarry(), st, s)
--- a/local/local.go
+++ b/local/local.go
@@ -22,6 +22,7 @@
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/node"
 	"github.com/plantaindeck/plantaindeck/policy"
+	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/spec"
 )
 
@@ -50,6 +51,8 @@
 	EditSettings func(n *config.Node)
 	// Dial connects two nodes. It is nil for TCP.
 	Dial func(ctx context.Context, from, to string) (net.Conn, error)
+	// DialEndpoint connects a node, given by its number, to an endpoint. It is nil for TCP.
+	DialEndpoint func(ctx context.Context, node int, t relay.Target) (net.Conn, error)
 }
 
 // Deployment is a running deployment. Nodes are numbered from 0.
@@ -259,6 +262,9 @@
 	if d.cfg.Dial != nil {
 		cfg.Dial = func(ctx context.Context, to string) (net.Conn, error) { return d.cfg.Dial(ctx, settings.PeerAddr, to) }
 	}
+	if d.cfg.DialEndpoint != nil {
+		cfg.DialEndpoint = func(ctx context.Context, t relay.Target) (net.Conn, error) { return d.cfg.DialEndpoint(ctx, i, t) }
+	}
 	n, err := node.Start(d.ctx, cfg)
 	if err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/assign"
+	"github.com/plantaindeck/plantaindeck/carry"
 	"github.com/plantaindeck/plantaindeck/claim"
 	"github.com/plantaindeck/plantaindeck/config"
 	"github.com/plantaindeck/plantaindeck/daemon"
@@ -25,12 +26,13 @@
 )
 
 const (
-	storeTimeout      = 2 * time.Second // for one request to the key-value service
-	leavingGossipTime = time.Second     // within which gossip tells every node that this one is leaving
-	leaseTTLSeconds   = 48 * 3600       // a claim may join a lease that is leaseInterval old, so it is kept at least 24 hours
-	leaseInterval     = 24 * time.Hour  // between two leases for claims
-	leaseEraCheck     = time.Second     // between checks of whether the key-value service was restored without the lease
-	leaseBackoff      = 5 * time.Second // after a lease was not granted
+	storeTimeout      = 2 * time.Second       // for one request to the key-value service
+	leavingGossipTime = time.Second           // within which gossip tells every node that this one is leaving
+	leaseTTLSeconds   = 48 * 3600             // a claim may join a lease that is leaseInterval old, so it is kept at least 24 hours
+	leaseInterval     = 24 * time.Hour        // between two leases for claims
+	leaseEraCheck     = time.Second           // between checks of whether the key-value service was restored without the lease
+	leaseBackoff      = 5 * time.Second       // after a lease was not granted
+	drainCheck        = 50 * time.Millisecond // between two looks at the connections carried for other nodes
 )
 
 // Node is a running node: the daemon that drives its kernel, the front that
@@ -38,6 +40,7 @@
 type Node struct {
 	settings config.Node
 	daemon   *daemon.Daemon
+	carrier  *carry.Carrier
 	front    *front.Front
 	ln       net.Listener // for callers
 	store    store.Store
@@ -53,6 +56,8 @@
 	Now      time.Time                                                // time of the start; determines the incarnation, and the seed if none is set
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // to other nodes; nil for TCP
 	Listen   func(addr string) (net.Listener, error)                  // for callers; nil for TCP
+	// DialEndpoint connects to endpoints. It is nil for TCP.
+	DialEndpoint func(ctx context.Context, t relay.Target) (net.Conn, error)
 }
 
 // Start starts a node, which runs until Stop or Kill is called or ctx ends. The
@@ -92,6 +97,7 @@
 		Store:     n.store,
 		HostsAddr: settings.HostsAddr,
 		Dial:      cfg.Dial,
+		OnStream:  n.serveStream,
 		Trace:     trace.NewRecorder(settings.PeerAddr, settings.MaxTraceEntries),
 		Metrics:   set,
 	})
@@ -99,11 +105,12 @@
 		stop()
 		return nil, errors.Wrap(closeListener(ln, err), "start node")
 	}
+	n.carrier = carry.ForNode(n.daemon, cfg.DialEndpoint, seed)
 	n.claims = claim.New(claim.Config{Store: n.store, CurrentLease: n.leaseID.Load, Settle: settings.ClaimSettle})
 	n.front = front.New(ctx, front.Config{
 		Daemon:       n.daemon,
 		Claims:       n.claims,
-		Relay:        relay.NewClient(relay.Config{StallTimeout: settings.StallTimeout}),
+		Relay:        relay.NewClient(relay.Config{Dial: n.carrier.Dial, StallTimeout: settings.StallTimeout}),
 		Secret:       []byte(settings.ReattachSecret),
 		Operators:    parseOperators(settings.Operators),
 		AddressTTL:   settings.AddressTTL,
@@ -208,10 +215,13 @@
 func (n *Node) Stop(ctx context.Context) error {
 	klog.InfoS("Node is leaving", "peer", n.settings.PeerAddr)
 	n.daemon.AnnounceLeaving(ctx)
+	n.carrier.Drain()
 	wait.For(ctx, n.settings.AddressTTL+leavingGossipTime)
 	ctx, cancel := context.WithTimeout(ctx, n.settings.GracePeriod)
 	defer cancel()
 	err := n.front.Shutdown(ctx)
+	for n.carrier.Active() > 0 && wait.For(ctx, drainCheck) {
+	}
 	n.stop()
 	if runErr := <-n.done; runErr != nil {
 		return runErr
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,7 @@
 	maxConnsPerEndpoint = 4096
 	maxResponseSize     = 8 << 20 // bytes of a plain service's response, or of one event of a Stream
 	idleConnTimeout     = 30 * time.Second
+	maxConnAge          = time.Minute
 )
 
 // Target is an endpoint to connect to.
@@ -39,7 +40,7 @@
 
 // Config describes how endpoints are reached.
 type Config struct {
-	// Dial connects to an endpoint for an exchange. It is nil for DialTCP.
+	// Dial connects to an endpoint. It is nil for DialTCP.
 	Dial         func(ctx context.Context, t Target) (net.Conn, error)
 	StallTimeout time.Duration // longest time without a byte from an endpoint; zero for no limit. Exchange has no such limit
 }
@@ -114,6 +115,7 @@
 			Dial:                c.dial,
 			MaxConns:            maxConnsPerEndpoint,
 			MaxIdleConnDuration: idleConnTimeout,
+			MaxConnDuration:     maxConnAge, // so that those through other nodes end after a cut has healed
 			MaxResponseBodySize: maxResponseSize,
 			// The callers of this package decide on retries, by the type of the error.
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -135,7 +137,7 @@
 func (e *dialError) Unwrap() error { return e.err }
 
 func (c *Client) dial(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	conn, err := c.cfg.Dial(context.Background(), Target{Addr: addr, Timeout: dialTimeout})
 	if err != nil {
 		return nil, &dialError{err}
 	}
@@ -163,7 +165,8 @@
 // anything was sent, and otherwise a *LostError.
 func classifyError(addr string, err error) error {
 	var dialErr *dialError
-	if errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	var carrier *CarrierError
+	if errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.As(err, &carrier) && carrier.Unsent {
 		return &NotSentError{Addr: addr, Err: err}
 	}
 	return &LostError{Addr: addr, Err: err}
