Send long requests to carriers in pieces

A body of over 2 MiB, which the HTTP client writes at once, made one frame that the carrier rejects, so that the request was lost. Long requests go in pieces of 16 KiB. The new subtest of TestCarriedConnection failed before (one piece of 81,921 bytes).

--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -323,6 +323,20 @@
 		defer n.mu.Unlock()
 		qt.Assert(t, n.received, qt.Equals, 0)
 	})
+	t.Run("long request", func(t *testing.T) {
+		mine, theirs := newMemStreams()
+		c := &carriedConn{carrier: newNetwork(1).carriers["n0"], stream: mine}
+		n, err := c.Write(make([]byte, 5*pieceSize+1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, n, qt.Equals, 5*pieceSize+1)
+		for sum := 0; sum < n; {
+			f, err := theirs.Receive()
+			qt.Assert(t, err, qt.IsNil)
+			size := len(f.GetPiece().GetData())
+			qt.Assert(t, size > 0 && size <= pieceSize, qt.IsTrue, qt.Commentf("a piece has %d bytes", size))
+			sum += size
+		}
+	})
 	t.Run("stopping", func(t *testing.T) {
 		n := newNetwork(2)
 		n.setCut(1)
--- a/carry/conn.go
+++ b/carry/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,10 +59,14 @@
 
 // Write implements net.Conn.
 func (c *carriedConn) Write(b []byte) (int, error) {
-	if err := c.send(&wire.Piece{Data: b}); err != nil {
-		return 0, &relay.CarrierError{Node: c.node, Err: err}
+	written := 0
+	for part := range slices.Chunk(b, pieceSize) {
+		if err := c.send(&wire.Piece{Data: part}); err != nil {
+			return written, &relay.CarrierError{Node: c.node, Err: err}
+		}
+		written += len(part)
 	}
-	return len(b), nil
+	return written, nil
 }
 
 // ReportRest tells the carrier that the endpoint wants no requests from it for a time.
