End a carried connection whose node does not read

A carrier that could not send a piece in time stopped sending and kept the stream open, so that the other node waited for the rest until the deadline of the request. The stream ends now. The new subtest of TestCarriedConnection did not end before.

--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -72,6 +72,11 @@
 	received  int             // bytes at all endpoints
 }
 
+// stuckStream is a Stream whose other node reads nothing.
+type stuckStream struct{ *memStream }
+
+func (stuckStream) Send(*wire.Frame) error { return io.ErrShortWrite }
+
 func newNetwork(nodes int) *network {
 	n := &network{carriers: map[string]*Carrier{}, cut: map[string]bool{}, down: map[string]bool{}, connected: map[string]int{}}
 	for i := range nodes {
@@ -337,6 +342,14 @@
 			sum += size
 		}
 	})
+	t.Run("other node reads nothing", func(t *testing.T) {
+		n := newNetwork(2)
+		_, theirs := newMemStreams()
+		conn, err := n.dial(context.Background(), "n1", relay.Target{Addr: "e0"})
+		qt.Assert(t, err, qt.IsNil)
+		f := &forwarding{rules: n, conn: conn, stream: stuckStream{theirs}, answeredAt: sinceBoot()}
+		f.run(context.Background()) // ends
+	})
 	t.Run("stopping", func(t *testing.T) {
 		n := newNetwork(2)
 		n.setCut(1)
--- a/carry/serve.go
+++ b/carry/serve.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	maxActive     = 1024                   // connections that a node carries for others at once
+	maxActive     = 512                    // connections that a node carries for others at once
 	maxWait       = 2 * time.Second        // for connecting for another node
 	maxFirstPiece = time.Second            // from an answer until the request has arrived; a longer delay means that this node or the other was paused
 	maxLife       = 10 * time.Minute       // of a carried connection whose request states no deadline
 	endSlack      = time.Second            // by which a carried connection outlasts its request's deadline
 	pieceSize     = 16 << 10               // bytes of a response that are read at once
-	sendTimeout   = 10 * time.Second       // for one piece of a response, while the other node reads slowly
+	sendTimeout   = 15 * time.Second       // for one piece of a response; longer than a node waits for a caller that does not read
 	answerTimeout = 250 * time.Millisecond // for the answer to another node
 )
 
@@ -179,12 +179,17 @@
 	}
 }
 
-// send sends a piece to the other node and reports whether that succeeded.
+// send sends a piece to the other node and reports whether that succeeded. If it did not, the
+// stream ends, as the other node would wait for the rest.
 func (f *forwarding) send(p *wire.Piece) bool {
 	f.sending.Lock()
 	defer f.sending.Unlock()
-	if err := f.stream.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
-		return false
+	err := f.stream.SetWriteDeadline(time.Now().Add(sendTimeout))
+	if err == nil {
+		err = f.stream.Send(&wire.Frame{Body: &wire.Frame_Piece{Piece: p}})
+	}
+	if err != nil {
+		_ = f.stream.Close()
 	}
-	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Piece{Piece: p}}) == nil
+	return err == nil
 }
