Give each request to a document's endpoint a connection of its own

An endpoint may send a response a second time, late, when its connection is in use again. The client of the front kept connections, so that the next caller got that response as its own: TestLateSecondResponse failed before (the second caller got the first one's response). The users' platform was not concerned, where each exchange has had its own connection. The bound on the age of connections, which was there for carried ones, goes.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,7 +26,6 @@
 	maxConnsPerEndpoint = 4096
 	maxResponseSize     = 8 << 20 // bytes of a plain service's response, or of one event of a Stream
 	idleConnTimeout     = 30 * time.Second
-	maxConnAge          = time.Minute
 )
 
 // Target is an endpoint to connect to.
@@ -45,7 +44,9 @@
 	StallTimeout time.Duration // longest time without a byte from an endpoint; zero for no limit. Exchange has no such limit
 }
 
-// Client sends requests to endpoints. It may be used by several goroutines.
+// Client sends requests to endpoints. It may be used by several goroutines. Each request has a
+// connection of its own, as an endpoint may send a second response late, which the next request
+// on the connection would get.
 type Client struct {
 	cfg         Config
 	mu          sync.Mutex
@@ -115,7 +116,6 @@
 			Dial:                c.dial,
 			MaxConns:            maxConnsPerEndpoint,
 			MaxIdleConnDuration: idleConnTimeout,
-			MaxConnDuration:     maxConnAge, // so that those through other nodes end after a cut has healed
 			MaxResponseBodySize: maxResponseSize,
 			// The callers of this package decide on retries, by the type of the error.
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -223,6 +223,7 @@
 		req.Header.SetContentType(call.ContentType)
 	}
 	req.SetBody(call.Body)
+	req.SetConnectionClose()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(c.cfg.StallTimeout)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -96,6 +96,7 @@
 
 // connect sends a request whose response is the stream.
 func (s *Stream) connect(req *fasthttp.Request) error {
+	req.SetConnectionClose()
 	resp := &fasthttp.Response{StreamBody: true}
 	if err := s.client.hostClient(s.location.Addr).Do(req, resp); err != nil {
 		return classifyError(s.location.Addr, err)
@@ -277,6 +278,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
+	req.SetConnectionClose()
 	if err := c.hostClient(addr).DoTimeout(req, resp, stateTimeout); err != nil {
 		return State{}, classifyError(addr, err)
 	}
