--- a/carry/carry.go
+++ b/carry/carry.go
@@ -75,7 +75,6 @@
 	nodes    *nodes
 	active   int // connections carried for other nodes, those that are being established included
 	stopping bool
-	tasks    sync.WaitGroup // connections that are being established when Dial has returned
 	through  *metrics.Counter
 	failed   *metrics.Counter
 	served   *metrics.Counter
@@ -132,9 +131,9 @@
 	c.mu.Unlock()
 	switch {
 	case after && !before:
-		c.record("isolated", "", fmt.Sprintf("this node has reached no endpoint since it lost %d; it goes through other nodes: %v", lost, err))
+		c.record("isolated", "", fmt.Sprintf("this node has reached no endpoint since it lost %d; it asks other nodes to connect: %v", lost, err))
 	case before && !after:
-		c.record("reconnected", "", "this node has reached "+addr+" itself and goes through no other nodes any more")
+		c.record("reconnected", "", "this node has reached "+addr+" itself again")
 	}
 }
 
--- a/carry/dial.go
+++ b/carry/dial.go
@@ -74,7 +74,6 @@
 type dialResult struct {
 	conn net.Conn
 	err  error
-	node string // that carries the connection; empty for this node
 }
 
 // Dial connects to an endpoint. It implements relay.Config.Dial. If it takes long, or fails,
@@ -138,13 +137,13 @@
 	if d.pending == 0 {
 		return
 	}
-	d.carrier.tasks.Go(func() {
+	go func() {
 		for range d.pending {
 			if r := <-d.results; r.err == nil {
 				_ = r.conn.Close()
 			}
 		}
-	})
+	}()
 }
 
 // dialDirect begins to connect by this node. It goes on if another connection is used, as
@@ -153,12 +152,12 @@
 	d.pending++
 	c, t := d.carrier, d.target
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.Timeout)
-	c.tasks.Go(func() {
+	go func() {
 		defer cancel()
 		conn, err := c.cfg.Dial(ctx, t)
 		c.recordDirect(time.Now(), t.Addr, err)
 		d.results <- dialResult{conn: conn, err: err}
-	})
+	}()
 }
 
 // ask begins to connect through another node. It reports false if there is none to ask.
@@ -180,10 +179,10 @@
 	d.pending++
 	d.asked = append(d.asked, node)
 	t, deadline := d.target, d.deadline
-	c.tasks.Go(func() {
+	go func() {
 		conn, err := c.dialThrough(ctx, node, t, deadline)
-		d.results <- dialResult{conn: conn, err: err, node: node}
-	})
+		d.results <- dialResult{conn: conn, err: err}
+	}()
 	return true
 }
 
