Carry the calls that move a generation from an engine that is leaving

A node that is cut off could not copy its generations from a leaving engine, so that they were lost with it: carriers took the call for a request and refused it, as the engine is leaving. Calls name no endpoint and are no requests; a carrier checks only that the address is listed.

--- a/entry/carry.go
+++ b/entry/carry.go
@@ -37,7 +37,7 @@
 	switch {
 	case i < 0:
 		return wire.Obstacle_ENDING, fmt.Sprintf("no endpoint %q is listed at %s", c.GetEndpoint(), c.GetAddr())
-	case !c.GetStarted() && listed[i].Leaving:
+	case c.GetEndpoint() != "" && !c.GetStarted() && listed[i].Leaving: // a call that names no endpoint is no request
 		return wire.Obstacle_ENDING, "the endpoint is leaving"
 	case rest > 0:
 		return wire.Obstacle_UNWANTED, fmt.Sprintf("the endpoint wants no requests for %s", rest.Round(time.Millisecond))
