--- a/carry/dial.go
+++ b/carry/dial.go
@@ -26,7 +26,7 @@
 type DialError struct {
 	Direct  error    // of the connection by this node; nil if none was tried
 	Answers []string // of other nodes
-	Ended   bool     // nothing listens at the address, as nodes in touch with endpoints found
+	Ended   bool     // nothing listens at the address, as nodes that reach others found
 	Silent  bool     // the endpoint did not answer, and nobody found anything else
 }
 
--- a/carry/findings.go
+++ b/carry/findings.go
@@ -10,8 +10,8 @@
 	direct      bool // this node has tried, and is not isolated
 	silentHere  bool // this node got no answer
 	refusedHere bool // nothing listens there, as this node found
-	refused     int  // nodes in touch that found that nothing listens there, without this one
-	unreachable int  // nodes in touch that got no answer, without this one
+	refused     int  // connected nodes that found that nothing listens there, without this one
+	unreachable int  // connected nodes that got no answer, without this one
 	leaving     bool // a node knows that the endpoint is leaving or gone
 	others      int  // answers of other nodes, and nodes that gave none
 }
@@ -36,7 +36,7 @@
 	return f
 }
 
-// settled reports whether no further node is worth asking: two nodes in touch got no answer
+// settled reports whether no further node is worth asking: two connected nodes got no answer
 // from the endpoint, or it is leaving.
 func (f findings) settled() bool {
 	return f.leaving || f.unreachable >= 2 || f.unreachable == 1 && f.direct
@@ -47,8 +47,8 @@
 	return !f.leaving && f.refused == 0 && (f.silentHere || f.unreachable > 0)
 }
 
-// ended reports whether nothing listens at the address any more. That takes another node in
-// touch, unless there is no other.
+// ended reports whether nothing listens at the address any more. That takes another connected
+// node, unless there is no other.
 func (f findings) ended() bool {
 	return f.unreachable == 0 && (f.refused > 0 || f.refusedHere && f.others == 0)
 }
--- a/carry/nodes.go
+++ b/carry/nodes.go
@@ -18,7 +18,7 @@
 )
 
 // nodes is what a node knows of the others as carriers. Load pattern: while many nodes are cut
-// off at once, those in touch carry the requests of all of them, and must share these evenly;
+// off at once, those that are not carry the requests of all of them, and must share these evenly;
 // most of the others that could be asked may be cut off as well.
 type nodes struct {
 	byID map[string]nodeState
