--- a/feed/feed.go
+++ b/feed/feed.go
@@ -27,7 +27,7 @@
 
 const (
 	watchTimeout        = time.Second            // of one watch without changes; each response shows the other nodes that the store works
-	batchDelay          = 60 * time.Millisecond  // before the next watch, so that it returns several changes at once
+	removalMargin       = 60 * time.Millisecond  // by which a watch outlasts the delay of held removals
 	readerCheckInterval = 100 * time.Millisecond // between checks of whether this node must watch the store
 	minRetryBackoff     = 100 * time.Millisecond // after the first failed call; doubles
 	maxRetryBackoff     = time.Second
@@ -135,7 +135,7 @@
 		}
 		if err == nil {
 			backoff = minRetryBackoff
-			wait.For(ctx, batchDelay)
+			wait.For(ctx, fleet.ReadDelay(f.cfg.Daemon.State()))
 			continue
 		}
 		f.recordFailure(err)
@@ -214,7 +214,7 @@
 // watchTimeout.
 func (f *Feed) watchTime(now time.Time) time.Duration {
 	if left := outageRemovalDelay - now.Sub(f.lastFailure); left > 0 {
-		return min(left+batchDelay, watchTimeout)
+		return min(left+removalMargin, watchTimeout)
 	}
 	return watchTimeout
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -510,5 +510,35 @@
 	t.Run("small", func(t *testing.T) {
 		n := newReaderNetwork(t, 4)
 		qt.Assert(t, n.readers(), qt.HasLen, 4)
+		qt.Assert(t, n.promptReaders(), qt.HasLen, 4)
 	})
 }
+
+// promptReaders returns the readers that begin a watch at once after the last one.
+func (n *readerNetwork) promptReaders() (list []int) {
+	for _, i := range n.readers() {
+		if fleet.ReadDelay(n.State(i)) < 100*time.Millisecond {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// TestReadDelay guards against calls to the store for every change by every reader, and
+// against changes that are read late by all of them after the first reader has failed.
+func TestReadDelay(t *testing.T) {
+	for _, nodes := range []int{33, 87} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			n := newReaderNetwork(t, nodes)
+			for range 3 {
+				prompt := n.promptReaders()
+				qt.Assert(t, prompt, qt.HasLen, 1)
+				n.Kill(prompt[0])
+				n.run(6 * time.Second)
+			}
+			for _, i := range n.readers() {
+				qt.Assert(t, fleet.ReadDelay(n.State(i)) <= 500*time.Millisecond, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -20,6 +20,8 @@
 	maxTakeoverRank        = 10                     // nodes from this rank on wait for takeoverTTLs contact TTLs instead
 	takeoverTTLs           = 10                     // long, as all of them would make failing calls while the store is silent
 	contactMemory          = 30 * time.Second       // after which the contact of another node is forgotten
+	readDelay              = 60 * time.Millisecond
+	standbyReadDelay       = 400 * time.Millisecond // well within the shortest notice period, 1.5 s
 )
 
 // ReadsStore reports whether this node should watch the store and forward changes to
@@ -50,6 +52,21 @@
 	return now.Sub(v.coveredAt(m, rank)) >= wait
 }
 
+// ReadDelay returns how long this node waits after a watch of the store has returned before
+// it begins the next one, so that the next returns several changes at once.
+//
+// Load pattern: when engines are replaced every few seconds, each change ends the watches of
+// all readers. In a deployment of more than maxMeshNodes nodes, only the first reader asks
+// again at once. The others are there for the case that it fails, and find most changes in
+// one response.
+func ReadDelay(s kernel.State) time.Duration {
+	m := member.Of(s)
+	if len(m.Owners()) > maxMeshNodes && owner.Rank(readerKey, m.Self().GetId(), m.Owners()) > 0 {
+		return standbyReadDelay
+	}
+	return readDelay
+}
+
 // readerKey is the key by which the readers of the store are ranked.
 const readerKey = "store"
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -44,11 +45,12 @@
 	StallTimeout time.Duration // longest time without a byte from an endpoint; zero for no limit. Exchange has no such limit
 }
 
-// Client sends requests to endpoints. It may be used by several goroutines. Each request has a
-// connection of its own, as an endpoint may send a second response late, which the next request
-// on the connection would get.
+// Client sends requests to endpoints. It may be used by several goroutines. Each request of a
+// caller has a connection of its own, as an endpoint may send a second response late, which the
+// next request on the connection would get. Only Get keeps connections.
 type Client struct {
 	cfg         Config
+	kept        *http.Client // for Get
 	mu          sync.Mutex
 	hostClients map[string]*fasthttp.HostClient // by address
 }
@@ -58,7 +60,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = DialTCP
 	}
-	return &Client{cfg: cfg, hostClients: map[string]*fasthttp.HostClient{}}
+	return &Client{cfg: cfg, kept: newKeptClient(cfg.Dial), hostClients: map[string]*fasthttp.HostClient{}}
 }
 
 // NotSentError says that no byte of a request was sent to the endpoint.
