--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -38,10 +38,13 @@
 		return true
 	}
 	ttl := contactTTL(m)
-	if len(m.Owners()) <= maxMeshNodes {
+	// Members on hold count: while a deployment starts, most members are, and every node
+	// would take itself for one of few.
+	nodes := m.UsableIDs()
+	if len(nodes) <= maxMeshNodes {
 		return now.Sub(v.lastContact) >= ttl || owner.InTopN(readerKey, m.Self().GetId(), storeReaders, m.OwnersInCentre())
 	}
-	rank := owner.Rank(readerKey, m.Self().GetId(), m.Owners())
+	rank := owner.Rank(readerKey, m.Self().GetId(), nodes)
 	if rank < storeReaders {
 		return true
 	}
@@ -49,7 +52,7 @@
 	if rank >= maxTakeoverRank {
 		wait = takeoverTTLs * ttl
 	}
-	return now.Sub(v.coveredAt(m, rank)) >= wait
+	return now.Sub(v.coveredAt(m, nodes, rank)) >= wait
 }
 
 // ReadDelay returns how long this node waits after a watch of the store has returned before
@@ -61,7 +64,7 @@
 // one response.
 func ReadDelay(s kernel.State) time.Duration {
 	m := member.Of(s)
-	if len(m.Owners()) > maxMeshNodes && owner.Rank(readerKey, m.Self().GetId(), m.Owners()) > 0 {
+	if nodes := m.UsableIDs(); len(nodes) > maxMeshNodes && owner.Rank(readerKey, m.Self().GetId(), nodes) > 0 {
 		return standbyReadDelay
 	}
 	return readDelay
@@ -70,12 +73,12 @@
 // readerKey is the key by which the readers of the store are ranked.
 const readerKey = "store"
 
-// coveredAt returns the last time at which storeReaders nodes that are ranked before this
-// one were known to be in contact with the store.
-func (v *View) coveredAt(m *member.View, rank int) time.Time {
+// coveredAt returns the last time at which storeReaders of the given nodes that are ranked before
+// this one were known to be in contact with the store.
+func (v *View) coveredAt(m *member.View, nodes []string, rank int) time.Time {
 	var times []time.Time
 	for id, at := range v.contacts {
-		if m.Usable(id) && owner.Rank(readerKey, id, m.Owners()) < rank {
+		if m.Usable(id) && owner.Rank(readerKey, id, nodes) < rank {
 			times = append(times, at)
 		}
 	}
