--- a/simnet/simnet.go
+++ b/simnet/simnet.go
@@ -27,6 +27,9 @@
 	Jitter        time.Duration // largest random addition to MinDelay, which reorders messages
 	DropRate      float64       // share of the messages that are lost, 0 to 1
 	DuplicateRate float64       // share of the messages that are delivered twice, 0 to 1
+	// LinkDelay returns the time that the links of two nodes need for a message of the given
+	// size, which is added to its delay. It is called once for each delivery, and may be nil.
+	LinkDelay func(now time.Time, from, to, bytes int) time.Duration
 	// OnEffect is called with each effect of a kernel except Send. It returns the
 	// events to give to the same node at once. It may be nil.
 	OnEffect func(node int, now time.Time, f kernel.Effect) []kernel.Event
@@ -209,7 +212,11 @@
 		copies = 2
 	}
 	for range copies {
-		n.schedule(n.now.Add(n.randomDelay()), to, kernel.FrameReceived{From: ID(from), Frame: s.Frame})
+		at := n.now.Add(n.randomDelay())
+		if n.cfg.LinkDelay != nil {
+			at = at.Add(n.cfg.LinkDelay(n.now, from, to, proto.Size(s.Frame)))
+		}
+		n.schedule(at, to, kernel.FrameReceived{From: ID(from), Frame: s.Frame})
 	}
 }
 
