--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,6 +87,7 @@
 	table         *table.Table // in force; nil before the first one
 	era           int64        // highest era of the store that any item states
 	records       records
+	large         largeItems
 	services      map[string][]Endpoint    // by service, each list sorted by id
 	complete      bool                     // every item of the store has been learned
 	completeAt    time.Time                // when that was known first
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -15,13 +15,16 @@
 
 func step(now time.Time, s kernel.State, e kernel.Event) (*View, []kernel.Effect) {
 	v := Of(s)
+	if next, effects, ok := v.handleLarge(now, s, e); ok {
+		return next, effects
+	}
 	switch e := e.(type) {
 	case kernel.Tick:
 		return v.tick(now, member.Of(s))
 	case kernel.ItemsLearned:
 		next, effects := v.learn(now, member.Of(s), "", e.Items, e.Complete)
 		next.contactAt, next.lastContact = now, now
-		return next, effects
+		return next, append(effects, next.settleFetches(now, "", e.Items)...)
 	case kernel.LeaveReported:
 		return v.recordLeaveReport(now, member.Of(s), e)
 	case kernel.LimitReported:
@@ -38,6 +41,7 @@
 	switch body := e.Frame.GetBody().(type) {
 	case *wire.Frame_Items:
 		next, effects := v.learn(now, m, e.From, body.Items.GetItems(), false)
+		effects = append(effects, next.settleFetches(now, e.From, body.Items.GetItems())...)
 		return next.compareDigest(now, e.From, body.Items, effects)
 	case *wire.Frame_Want:
 		return v, v.handleWant(e.From, body.Want)
@@ -89,12 +93,13 @@
 	}
 	for _, id := range m.Neighbours() {
 		if id != from && (!isLarge(m) || m.SameCentre(id)) {
-			effects = append(effects, next.sendItems(id, changed))
+			effects = append(effects, next.spreadItems(id, changed)...)
 		}
 	}
+	effects = append(effects, confirmItems(from, changed)...)
 	if from == "" && isLarge(m) {
 		for _, id := range relays(m) {
-			effects = append(effects, next.sendItems(id, changed))
+			effects = append(effects, next.spreadItems(id, changed)...)
 		}
 	}
 	return &next, effects
@@ -262,19 +267,24 @@
 		return &next, effects
 	}
 	next.mismatches[from]++
-	settling := now.Sub(v.updatedAt) < digestSettleTime && next.mismatches[from] < maxMismatches
+	settling := (now.Sub(v.updatedAt) < digestSettleTime || len(v.large.fetches) > 0) && next.mismatches[from] < maxMismatches
 	if settling || now.Sub(v.wantSentAt) < wantTimeout {
 		return &next, effects
 	}
 	delete(next.mismatches, from)
 	next.wantSentAt = now
-	want := &wire.Want{Digests: v.records.bucketDigests()}
+	want := &wire.Want{Digests: v.wantDigests()}
 	return &next, append(effects, kernel.Send{To: from, Frame: &wire.Frame{Body: &wire.Frame_Want{Want: want}}})
 }
 
-// handleWant sends the items of the buckets in which a neighbour's records differ.
+// handleWant sends the items of the buckets in which a neighbour's records differ. It
+// announces the large ones if the neighbour understands that.
 func (v *View) handleWant(to string, w *wire.Want) []kernel.Effect {
-	return []kernel.Effect{v.sendItems(to, v.records.differingItems(w.GetDigests()))}
+	items := v.records.differingItems(w.GetDigests())
+	if understandsAnnouncements(w) {
+		return v.spreadItems(to, items)
+	}
+	return []kernel.Effect{v.sendItems(to, items)}
 }
 
 func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
@@ -283,7 +293,7 @@
 	next.divideLimits(m)
 	// Members on hold serve callers, as in divideLimits.
 	next.self, next.sharers = m.Self().GetId(), loadGroupAmong(m, m.UsableIDs()).Nodes()
-	var effects []kernel.Effect
+	effects := next.tickFetches(now, m)
 	if now.Sub(v.digestSentAt) >= digestInterval {
 		next.digestSentAt = now
 		next.expireTombstones(now)
