--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,8 @@
 	set.GetOrCreateGauge("plantaindeck_store_news_age_seconds", func() float64 {
 		return time.Since(s.view().LastStoreContact()).Seconds()
 	})
+	set.GetOrCreateGauge("plantaindeck_items_fetched_total", func() float64 { fetched, _ := s.view().FetchCounts(); return float64(fetched) })
+	set.GetOrCreateGauge("plantaindeck_item_fetch_timeouts_total", func() float64 { _, timeouts := s.view().FetchCounts(); return float64(timeouts) })
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
--- a/fleet/announce.go
+++ b/fleet/announce.go
@@ -21,8 +21,9 @@
 const (
 	maxPushedBytes    = 8 << 10                // larger bodies are announced and fetched
 	maxUploads        = 2                      // bodies that a node sends at once; more would share its link, and all would arrive late
-	fetchBaseTimeout  = 500 * time.Millisecond // for the answer to a Fetch, plus the time for the body
+	fetchBaseTimeout  = 300 * time.Millisecond // for the answer to a Fetch, plus the time for the body
 	minFetchRate      = 250 << 10              // bytes per second at which a body is expected to arrive at least: two uploads on 10 Mbit/s take half of the link each, with a reserve
+	offerTime         = 50 * time.Millisecond  // for which an upload is kept for a node that was offered it
 	fetchRetryDelay   = 50 * time.Millisecond  // after all announcers have been busy, until they are asked again
 	readerFetchDelay  = 300 * time.Millisecond // for which a reader of the store waits for the item from there: several of its reads
 	readerContactTime = time.Second            // a reader without contact for longer fetches at once
@@ -46,11 +47,19 @@
 	fetches  map[string]fetch     // by item name
 	rejected map[string]Version   // by item name; last version received that was not newer than the one held, although its era and revision are
 	uploads  map[string]time.Time // by receiving node; when it counts as ended without a reply
+	waiting  []waiter             // nodes that were told that this one is busy, in order of their first Fetch
 	askedAt  time.Time            // when the neighbours were last asked to announce what they have
 	fetched  int                  // answers to Fetches
 	timeouts int                  // Fetches without an answer in time
 }
 
+// waiter is a node that waits for an upload.
+type waiter struct {
+	id        string
+	name      string    // of the item
+	offeredAt time.Time // when it was told that there is an upload for it; zero if it was not
+}
+
 // FetchCounts returns how many large items this node has fetched from others, and how
 // many times it did not get an answer in time.
 func (v *View) FetchCounts() (fetched, timeouts int) { return v.large.fetched, v.large.timeouts }
@@ -97,10 +106,40 @@
 	return effects
 }
 
+// announceAcross announces large items to nodes at distances that double, within the data
+// centre of a large deployment. Load pattern: the neighbours are the next three on a ring,
+// so that a body crosses a data centre of 33 nodes in up to eleven steps, each of which
+// takes the time of its transfer. A reader of the store does not do so: its link is needed
+// for its neighbours and the other data centres.
+func announceAcross(m *member.View, from string, items []*wire.Item) []kernel.Effect {
+	large := largeOf(items)
+	if from == "" || len(large) == 0 || !isLarge(m) {
+		return nil
+	}
+	inCentre, neighbours := m.OwnersInCentre(), m.Neighbours()
+	self, ok := slices.BinarySearch(inCentre, m.Self().GetId())
+	if !ok {
+		return nil
+	}
+	var effects []kernel.Effect
+	for distance := 1; distance < len(inCentre); distance *= 2 {
+		id := inCentre[(self+distance)%len(inCentre)]
+		if id != from && !slices.Contains(neighbours, id) {
+			effects = append(effects, announceTo(id, large, false))
+		}
+	}
+	return effects
+}
+
+// largeOf returns the large ones of the items.
+func largeOf(items []*wire.Item) []*wire.Item {
+	return slices.DeleteFunc(slices.Clone(items), func(item *wire.Item) bool { return !isLargeItem(item) })
+}
+
 // confirmItems tells the sender of large items that they have arrived, which ends its
 // uploads to this node.
 func confirmItems(to string, items []*wire.Item) []kernel.Effect {
-	large := slices.DeleteFunc(slices.Clone(items), func(item *wire.Item) bool { return !isLargeItem(item) })
+	large := largeOf(items)
 	if to == "" || len(large) == 0 {
 		return nil
 	}
@@ -165,8 +204,7 @@
 	}
 	held, known := v.records.get(name)
 	if known && versionOf(held.item) == version {
-		v.endUpload(from)
-		return nil
+		return v.endUpload(now, from)
 	}
 	if known && v.large.rejected[name] == version {
 		return []kernel.Effect{v.sendItems(from, []*wire.Item{held.item})}
@@ -180,9 +218,9 @@
 	if version != f.want {
 		f.want, f.size, f.announcers, f.busy = version, size, nil, nil
 	}
-	if !slices.Contains(f.announcers, from) && !slices.Contains(f.busy, from) {
-		f.announcers = append(slices.Clone(f.announcers), from)
-	}
+	isFrom := func(id string) bool { return id == from }
+	f.busy = slices.DeleteFunc(slices.Clone(f.busy), isFrom)
+	f.announcers = append(slices.DeleteFunc(slices.Clone(f.announcers), isFrom), from)
 	return v.continueFetch(now, name, f)
 }
 
@@ -223,19 +261,52 @@
 		return nil
 	}
 	items := []*wire.Item{held.item}
-	if _, again := v.large.uploads[to]; !again && len(v.large.uploads) >= maxUploads {
+	_, again := v.large.uploads[to]
+	place := slices.IndexFunc(v.large.waiting, func(w waiter) bool { return w.id == to })
+	if place < 0 {
+		place = len(v.large.waiting)
+	}
+	if !again && place >= maxUploads-len(v.large.uploads) {
+		if place == len(v.large.waiting) {
+			v.large.waiting = append(slices.Clone(v.large.waiting), waiter{id: to, name: ask.GetName()})
+		}
 		return []kernel.Effect{announceTo(to, items, true)}
 	}
+	v.dropWaiters(func(w waiter) bool { return w.id == to })
 	v.large.uploads = kernel.CloneMap(v.large.uploads)
-	v.large.uploads[to] = now.Add(fetchTimeout(len(held.item.GetBody())))
+	v.large.uploads[to] = now.Add(fetchTimeout(len(held.item.GetBody())) - fetchBaseTimeout)
 	return []kernel.Effect{v.sendItems(to, items)}
 }
 
-func (v *View) endUpload(to string) {
-	if _, ok := v.large.uploads[to]; ok {
-		v.large.uploads = maps.Clone(v.large.uploads)
-		delete(v.large.uploads, to)
+func (v *View) dropWaiters(drop func(waiter) bool) {
+	v.large.waiting = slices.DeleteFunc(slices.Clone(v.large.waiting), drop)
+}
+
+// endUpload ends the upload to a node, if there is one, and offers it to the next that
+// waits. Load pattern: nodes that hear of each new version first would otherwise always
+// ask first, and the others would get none while the versions change.
+func (v *View) endUpload(now time.Time, to string) []kernel.Effect {
+	if _, ok := v.large.uploads[to]; !ok {
+		return nil
+	}
+	v.large.uploads = maps.Clone(v.large.uploads)
+	delete(v.large.uploads, to)
+	return v.offerUploads(now)
+}
+
+// offerUploads announces the item again to the waiting nodes whose turn it is.
+func (v *View) offerUploads(now time.Time) []kernel.Effect {
+	var effects []kernel.Effect
+	v.large.waiting = slices.Clone(v.large.waiting)
+	free := max(maxUploads-len(v.large.uploads), 0)
+	for i, w := range v.large.waiting[:min(free, len(v.large.waiting))] {
+		held, known := v.records.get(w.name)
+		if known && w.offeredAt.IsZero() {
+			v.large.waiting[i].offeredAt = now
+			effects = append(effects, announceTo(w.id, []*wire.Item{held.item}, false))
+		}
 	}
+	return effects
 }
 
 // settleFetches ends the fetches of items that have been learned from a node, or from the
@@ -288,9 +359,11 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.large.uploads)) {
 		if !now.Before(v.large.uploads[id]) {
-			v.endUpload(id)
+			effects = append(effects, v.endUpload(now, id)...)
 		}
 	}
+	v.dropWaiters(func(w waiter) bool { return !w.offeredAt.IsZero() && now.Sub(w.offeredAt) >= offerTime })
+	effects = append(effects, v.offerUploads(now)...)
 	if v.table == nil && now.Sub(v.large.askedAt) >= digestInterval && len(m.Neighbours()) > 0 {
 		v.large.askedAt = now
 		for _, id := range m.Neighbours() {
@@ -303,8 +376,8 @@
 // dropAnnouncer continues the fetches from a node to which the session was lost with other
 // announcers.
 func (v *View) dropAnnouncer(now time.Time, id string) []kernel.Effect {
-	v.endUpload(id)
-	var effects []kernel.Effect
+	v.dropWaiters(func(w waiter) bool { return w.id == id })
+	effects := v.endUpload(now, id)
 	isLost := func(other string) bool { return other == id }
 	for _, name := range slices.Sorted(maps.Keys(v.large.fetches)) {
 		f := v.large.fetches[name]
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -97,6 +97,7 @@
 		}
 	}
 	effects = append(effects, confirmItems(from, changed)...)
+	effects = append(effects, announceAcross(m, from, changed)...)
 	if from == "" && isLarge(m) {
 		for _, id := range relays(m) {
 			effects = append(effects, next.spreadItems(id, changed)...)
