poison: count the distinct requests that explain crashes

Reports of crashes now say which trait a request shares only with its retries. A trait that several requests have needs three crashes under distinct ones, or one under another request after one request alone has explained three.

TestRetryIsNoFurtherEvidence/one_retry and /many_retries failed before the change in culprit.go and pass with it.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -57,7 +57,7 @@
 	s.metrics.crashes.Inc()
 	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
 	for _, rr := range c.lost {
-		report.Requests = append(report.Requests, rr.traits)
+		report.Requests, report.Own = append(report.Requests, rr.traits), append(report.Own, rr.ownTrait())
 		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request, which had no output yet; traits: "+rr.describeHashes())
 	}
 	s.cfg.Daemon.Post(ctx, report)
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -73,6 +73,10 @@
 	return traits
 }
 
+// ownTrait returns the trait that a request shares only with its retries: that of the whole prompt
+// if it has one, as the bodies of generations may be alike, else its hash.
+func (rr *routedRequest) ownTrait() uint64 { return rr.traits[min(1, len(rr.traits)-1)] }
+
 // admit adds a request to those that a quarantine ends, or returns an error if it is
 // quarantined already. Every attempt of the request, whatever it continues from, uses the
 // context that it returns, which ends when the request is quarantined. The caller calls the
--- a/front/quarantine.go
+++ b/front/quarantine.go
@@ -53,7 +53,7 @@
 	}
 	f.background(func(ctx context.Context) error {
 		if f.cfg.Relay.HasEnded(ctx, grant.Addr) {
-			f.cfg.Daemon.Post(ctx, kernel.EndpointCrashed{Endpoint: grant.Endpoint, Service: service, Requests: [][]uint64{traits}})
+			f.cfg.Daemon.Post(ctx, kernel.EndpointCrashed{Endpoint: grant.Endpoint, Service: service, Requests: [][]uint64{traits}, Own: traits[:1]})
 		}
 		return nil
 	})
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -166,6 +166,7 @@
 	Service     string
 	StartMillis int64      // start of the process that crashed, Unix milliseconds; 0 if unknown
 	Requests    [][]uint64 // traits of the requests that had no output yet
+	Own         []uint64   // of each of Requests, the trait that it shares only with its retries; 0 or missing if unknown
 }
 
 // OutputSeen reports that a request has had output.
--- a/poison/culprit.go
+++ b/poison/culprit.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	minCrashes   = 3                      // that a quarantine must explain if that is half of those in the time
-	minScattered = 5                      // that it must explain otherwise, as endpoints crash for other causes then
+	minCrashes   = 3                      // under distinct requests that a quarantine must explain if it explains half of those in the time
+	minScattered = 5                      // under distinct requests that it must explain otherwise, as endpoints crash for other causes then
 	minSpan      = 100 * time.Millisecond // between the first and the last of them, as an outage ends many endpoints at once
 	// Requests without the trait that must have had output since its first crash, which shows
 	// that endpoints answer: of a trait that is established, and of any at a node that has just
@@ -124,8 +124,11 @@
 			between++
 		}
 	}
-	n := bits.OnesCount64(mask)
-	if n < minCrashes || 2*n < between && n < minScattered {
+	required := minCrashes
+	if n := bits.OnesCount64(mask); 2*n < between {
+		required = minScattered
+	}
+	if !e.hasDistinctRequests(t, mask, required) {
 		return false
 	}
 	outputs := e.outputsOf(e.crashes[first].service) - e.crashes[first].outputs
@@ -137,3 +140,77 @@
 	}
 	return true
 }
+
+// hasDistinctRequests reports whether so many of the crashes each have another request with a
+// trait. If one request alone has the trait, each crash under it counts, as a quarantine of the
+// trait then concerns that request only. Once one request has explained that many, a later crash
+// under another request with the trait suffices. Load pattern: a harmful request that is retried
+// ends several endpoints, which is no evidence against the parts of its prompt that it shares
+// with a request that was lost to a fault before.
+func (e evidence) hasDistinctRequests(t, mask uint64, required int) bool {
+	if bits.OnesCount64(mask) < required {
+		return false
+	}
+	indices := map[uint64]int{}      // of the requests with t, by their own traits
+	requests := map[int][]int{}      // these indices, by crash
+	anonymous := map[int]bool{}      // crashes under a request with t whose own trait is unknown
+	explained := map[int]int{}       // crashes so far, by index of the request
+	repeated, confirmed := -1, false // request that has explained enough alone; another came after it
+	for i, c := range e.crashes {
+		if mask&(1<<i) == 0 {
+			continue
+		}
+		for k, traits := range c.requests {
+			own := c.ownTrait(k)
+			switch {
+			case !slices.Contains(traits, t):
+			case own == 0:
+				anonymous[i] = true
+			default:
+				if _, ok := indices[own]; !ok {
+					indices[own] = len(indices)
+				}
+				if r := indices[own]; !slices.Contains(requests[i], r) {
+					requests[i] = append(requests[i], r)
+				}
+			}
+		}
+		confirmed = confirmed || repeated >= 0 && !slices.Contains(requests[i], repeated)
+		for _, r := range requests[i] {
+			if explained[r]++; explained[r] == required {
+				repeated = r
+			}
+		}
+	}
+	if confirmed || len(indices) == 1 && len(anonymous) == 0 {
+		return true
+	}
+	return len(anonymous)+matchCrashes(requests, anonymous, len(indices)) >= required
+}
+
+// matchCrashes returns to how many of the crashes a request can be assigned that is assigned to
+// no other, by augmenting paths. The crashes in skipped need none.
+func matchCrashes(requests map[int][]int, skipped map[int]bool, known int) int {
+	crashOf := make([]int, known) // crash that a request is assigned to, from 1; 0 for none
+	var assign func(crash int, tried []bool) bool
+	assign = func(crash int, tried []bool) bool {
+		for _, r := range requests[crash] {
+			if tried[r] {
+				continue
+			}
+			tried[r] = true
+			if crashOf[r] == 0 || assign(crashOf[r]-1, tried) {
+				crashOf[r] = crash + 1
+				return true
+			}
+		}
+		return false
+	}
+	matched := 0
+	for crash := range requests {
+		if !skipped[crash] && assign(crash, make([]bool, known)) {
+			matched++
+		}
+	}
+	return matched
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -17,6 +17,8 @@
 //   - A trait is suspected of a crash only if a request with it ran there without output, and no
 //     request with it has had output since.
 //   - A process of an endpoint crashes once, however many nodes report it.
+//   - A request that comes again is evidence against what it shares with others once, however
+//     many endpoints crash under it.
 //   - Of the traits that explain the same crashes, none is quarantined alone: a quarantine
 //     holds all of those that one request has, and concerns requests that have them all.
 //   - A quarantine is written to the platform's store, where it outlasts the nodes.
@@ -106,6 +108,26 @@
 	at          time.Time
 	outputs     int        // requests of the service that had had output at this node before
 	requests    [][]uint64 // suspected traits of each request
+	own         []uint64   // of each request, the trait that it shares only with its retries; 0 or missing if unknown
+}
+
+// ownTrait returns the trait that request i shares only with its retries, or 0 if it is unknown.
+func (c crash) ownTrait(i int) uint64 {
+	if i < len(c.own) {
+		return c.own[i]
+	}
+	return 0
+}
+
+// withRequests returns the crash with further requests, of which it keeps at most maxRequests.
+func (c crash) withRequests(report crash) crash {
+	requests, own := slices.Clone(c.requests), make([]uint64, len(c.requests))
+	copy(own, c.own)
+	for i := range report.requests[:min(len(report.requests), max(maxRequests-len(requests), 0))] {
+		requests, own = append(requests, report.requests[i]), append(own, report.ownTrait(i))
+	}
+	c.requests, c.own = requests, own
+	return c
 }
 
 func step(now time.Time, s kernel.State, e kernel.Event) (*View, []kernel.Effect) {
@@ -117,7 +139,7 @@
 		if len(e.Requests) == 0 {
 			return v, nil
 		}
-		report := truncated(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests})
+		report := truncated(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests, own: e.Own})
 		next, effects := v.addCrash(now, m, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
@@ -230,8 +252,7 @@
 	})
 	switch {
 	case i >= 0:
-		room := max(maxRequests-len(next.crashes[i].requests), 0)
-		next.crashes[i].requests = append(slices.Clip(next.crashes[i].requests), report.requests[:min(len(report.requests), room)]...)
+		next.crashes[i] = next.crashes[i].withRequests(report)
 	default:
 		next.crashes = append(next.crashes, report)
 		if len(next.crashes) > maxCrashes {
@@ -391,9 +412,15 @@
 	}
 }
 
+// wire returns the message for a crash. The message has no field for the own trait of a request,
+// so that trait is sent twice, the first time before all others. Nodes that do not know this
+// treat it as one trait.
 func (c crash) wire() *wire.Crash {
 	w := &wire.Crash{Endpoint: c.endpoint, Service: c.service, Born: c.startMillis}
-	for _, traits := range c.requests {
+	for i, traits := range c.requests {
+		if own := c.ownTrait(i); own != 0 {
+			traits = append([]uint64{own}, traits...)
+		}
 		w.Requests = append(w.Requests, &wire.Traits{Traits: traits})
 	}
 	return w
@@ -402,7 +429,11 @@
 func decodeCrash(w *wire.Crash) crash {
 	c := crash{endpoint: w.GetEndpoint(), service: w.GetService(), startMillis: w.GetBorn()}
 	for _, r := range w.GetRequests() {
-		c.requests = append(c.requests, r.GetTraits())
+		traits, own := r.GetTraits(), uint64(0)
+		if len(traits) > 1 && slices.Contains(traits[1:], traits[0]) {
+			traits, own = traits[1:], traits[0]
+		}
+		c.requests, c.own = append(c.requests, traits), append(c.own, own)
 	}
 	return truncated(c)
 }
