Evacuate data centres: no path sends requests to their endpoints

The store key op/evacuate/CENTRE spreads as an item with era and revision. Choices, migration targets, backups, continuations, reports, crash checks and carried connections skip the endpoints of such a data centre. If all endpoints of a service are evacuated, requests are rejected at once as not run.

--- a/entry/call.go
+++ b/entry/call.go
@@ -137,7 +137,8 @@
 // may run only once is lost on it, at each node anew.
 func (s *Server) recordFailure(ctx context.Context, e fleet.Endpoint, err error) {
 	var carrier *relay.CarrierError
-	if errors.Is(ctx.Err(), context.Canceled) || errors.As(err, &carrier) {
+	var evacuated *EvacuatedError
+	if errors.Is(ctx.Err(), context.Canceled) || errors.As(err, &carrier) || errors.As(err, &evacuated) {
 		return // it says nothing about the endpoint
 	}
 	s.recordOutcome(e.ID, false)
@@ -163,6 +164,9 @@
 // an error if the response says that the endpoint did not run the request, or
 // belongs to another request.
 func (s *Server) sendAttempt(ctx context.Context, a Attempt, connectTimeout time.Duration) (*relay.Response, error) {
+	if e := a.Endpoint; a.ContinueFrom == nil && s.view().IsEvacuated(e) {
+		return nil, &relay.NotSentError{Addr: e.Addr, Err: &EvacuatedError{Endpoint: e.ID, Centre: e.Centre}}
+	}
 	req := s.cfg.Dialect.Encode(a)
 	req.ConnectTimeout, req.Endpoint, req.RequestID = connectTimeout, a.Endpoint.ID, a.Request.ID
 	req.Started = a.ContinueFrom != nil
--- a/entry/carry.go
+++ b/entry/carry.go
@@ -39,6 +39,8 @@
 		return wire.Obstacle_ENDING, fmt.Sprintf("no endpoint %q is listed at %s", c.GetEndpoint(), c.GetAddr())
 	case c.GetEndpoint() != "" && !c.GetStarted() && listed[i].Leaving: // a call that names no endpoint is no request
 		return wire.Obstacle_ENDING, "the endpoint is leaving"
+	case c.GetEndpoint() != "" && !c.GetStarted() && view.IsEvacuated(listed[i]):
+		return wire.Obstacle_ENDING, "data centre " + listed[i].Centre + " is evacuated"
 	case rest > 0:
 		return wire.Obstacle_UNWANTED, fmt.Sprintf("the endpoint wants no requests for %s", rest.Round(time.Millisecond))
 	}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -18,7 +18,8 @@
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
 // request broke before it had any output, or adds the request to the check that runs. A
 // request that a quarantine has ended may still have crashed the endpoint, and explains it. An
-// endpoint that is leaving ends as planned, so it is not checked.
+// endpoint that is leaving ends as planned, so it is not checked, and neither is one in an
+// evacuated data centre, as it gets no more connections.
 func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
 	var lost *relay.LostError
 	var carrier *relay.CarrierError
@@ -28,7 +29,7 @@
 	if ctx.Err() != nil && !wasAborted(ctx) || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving {
+	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving || s.view().IsEvacuated(now) {
 		return
 	}
 	s.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -350,7 +350,7 @@
 // restError returns the error for a request that has not run while every endpoint wants
 // no requests, the first of them for the given time.
 func (s *Server) restError(rr *routedRequest, rest time.Duration) *apierr.Error {
-	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q takes requests for %s", rr.service.Name, rest.Round(time.Millisecond)).WithRetryAfter(rest + s.addJitter(restRetrySpread))
+	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q takes requests %s", rr.service.Name, describeRest(rest)).WithRetryAfter(retryAfterRest(rest) + s.addJitter(restRetrySpread))
 }
 
 // finalError returns the error for a request to which no endpoint gave a
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -209,7 +209,7 @@
 		Events:      seg.events,
 		SinceNotice: now.Sub(noticedAt),
 		HasBackup:   listed && !backup.Leaving && s.usage.closedFor(now, view, backup) == 0,
-		Copyable:    seg.copyable && s.usage.closedFor(now, view, seg.endpoint) == 0,
+		Copyable:    seg.copyable && s.usage.closedForCopies(now, view, seg.endpoint) == 0,
 		Planned:     seg.planned,
 		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
 	}
@@ -296,7 +296,7 @@
 			return false
 		}
 	}
-	if !s.takeCall(time.Now(), seg.endpoint.ID) {
+	if !s.takeCopyCall(time.Now(), seg.endpoint.ID) {
 		s.record("copy-failed", g.routed.req, target.ID, "the engine takes no requests now, so the final copy was not asked for")
 		return false
 	}
@@ -362,7 +362,7 @@
 // awaitIdleLinks copies what is new of a generation, while it continues to run, until a
 // copy shows that no other copies are in its way, or the time for the final copy has come.
 func (s *Server) awaitIdleLinks(ctx context.Context, g *generation, seg *segment, target fleet.Endpoint, noticedAt time.Time) {
-	for ctx.Err() == nil && s.takeCall(time.Now(), seg.endpoint.ID) {
+	for ctx.Err() == nil && s.takeCopyCall(time.Now(), seg.endpoint.ID) {
 		began := time.Now()
 		_, err := s.cfg.Dialect.Copy(ctx, seg.endpoint.Addr, target.Addr, g.routed.req.ID, false)
 		s.heedNotice(time.Now(), seg.endpoint, refusalNotice(err))
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -90,12 +90,29 @@
 
 // closedFor returns how much longer an endpoint takes no request from this node.
 func (t *usageTracker) closedFor(now time.Time, view *fleet.View, e fleet.Endpoint) time.Duration {
+	if view.IsEvacuated(e) {
+		return evacuatedRest
+	}
+	return t.closedForCopies(now, view, e)
+}
+
+// closedForCopies is closedFor for the calls that copy a generation which runs on the endpoint.
+// They are made although its data centre is evacuated.
+func (t *usageTracker) closedForCopies(now time.Time, view *fleet.View, e fleet.Endpoint) time.Duration {
 	return max(t.restLeft(now, e.ID), t.limitWait(now, view, e.ID), t.brittleWait(now, view, e))
 }
 
 // takeCall counts a call of this node against an endpoint's rate limit. It reports false
 // if the endpoint takes no call now.
 func (t *usageTracker) takeCall(now time.Time, view *fleet.View, id string) bool {
+	if e, listed := view.Endpoint(id); listed && view.IsEvacuated(e) {
+		return false
+	}
+	return t.takeCopyCall(now, view, id)
+}
+
+// takeCopyCall is takeCall for the calls of closedForCopies.
+func (t *usageTracker) takeCopyCall(now time.Time, view *fleet.View, id string) bool {
 	if t.restLeft(now, id) > 0 {
 		return false
 	}
@@ -112,6 +129,14 @@
 	return s.usage.takeCall(now, view, id)
 }
 
+// takeCopyCall is takeCall for the calls that copy a generation which runs on the endpoint.
+func (s *Server) takeCopyCall(now time.Time, id string) bool {
+	view := s.view()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usage.takeCopyCall(now, view, id)
+}
+
 // isRateLimited reports whether an endpoint has a rate limit.
 func (s *Server) isRateLimited(id string) bool {
 	_, limited := s.view().RateShare(id)
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -67,7 +67,7 @@
 	var list []fleet.Endpoint
 	for _, id := range v.EndpointIDs() {
 		e, _ := v.Endpoint(id)
-		if e.Leaving || v.Table() == nil {
+		if e.Leaving || v.Table() == nil || v.IsEvacuated(e) {
 			continue
 		}
 		svc, ok := v.Table().Service(e.Service)
--- a/entry/room.go
+++ b/entry/room.go
@@ -47,7 +47,7 @@
 		now := time.Now()
 		if rest := s.restOfAll(now, s.view(), rr.service.Name, g.version); rest > 0 && rest > until.Sub(now) {
 			g.rest = rest
-			g.lastErr = errors.Errorf("no engine takes requests for %s", rest.Round(time.Millisecond))
+			g.lastErr = errors.Errorf("no engine takes requests %s", describeRest(rest))
 			return fleet.Endpoint{}, false
 		}
 		if s.awaitSilent(g.ctx, rr, g.lastErr) {
@@ -67,13 +67,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	endpoints := view.Endpoints(sel.service.Name)
-	leaving := 0
+	leaving, evacuated := 0, len(endpoints)-len(withoutEvacuated(view, endpoints))
 	for _, e := range endpoints {
 		if e.Leaving {
 			leaving++
 		}
 	}
-	text := fmt.Sprintf("%d engines are listed, %d of them leaving; the generation needs %d tokens within %.2f of an engine's memory", len(endpoints), leaving, sel.need.Tokens, sel.maxFill)
+	text := fmt.Sprintf("%d engines are listed, %d of them leaving, %d in evacuated data centres; the generation needs %d tokens within %.2f of an engine's memory", len(endpoints), leaving, evacuated, sel.need.Tokens, sel.maxFill)
 	sel.maxFill, sel.avoid = 0, nil
 	_, candidates := s.fittingCandidates(now, view, sel)
 	if len(candidates) == 0 {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -133,7 +133,7 @@
 // now, and counts the call against its rate limit.
 func (g *generation) takesContinuation(dest *destination) bool {
 	if dest.counted {
-		return !g.server.isResting(time.Now(), dest.endpoint.ID)
+		return !g.server.isResting(time.Now(), dest.endpoint.ID) && !g.server.view().IsEvacuated(dest.endpoint)
 	}
 	return g.server.takeCall(time.Now(), dest.endpoint.ID)
 }
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -302,7 +302,7 @@
 // others, so that the cost of a choice does not grow with the deployment. With a version
 // that is not nil, only endpoints that run it are considered. The mutex is held.
 func (s *Server) consideredEndpoints(view *fleet.View, service string, version *string) []fleet.Endpoint {
-	all := view.Endpoints(service)
+	all := withoutEvacuated(view, view.Endpoints(service))
 	if version != nil {
 		all = slices.DeleteFunc(slices.Clone(all), func(e fleet.Endpoint) bool { return e.Version != *version })
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -52,6 +52,13 @@
 	Removed bool
 }
 
+// Evacuation is an order that the endpoints of a data centre get no more requests, or its
+// removal.
+type Evacuation struct {
+	Centre  string
+	Removed bool
+}
+
 // Unreadable is an entry that cannot be decoded. An endpoint with such a record
 // is not used.
 type Unreadable struct {
@@ -61,6 +68,7 @@
 
 func (Table) isChange()      {}
 func (Endpoint) isChange()   {}
+func (Evacuation) isChange() {}
 func (Unreadable) isChange() {}
 
 // Config describes a feed.
@@ -78,6 +86,7 @@
 	cfg           Config
 	nodesByKey    map[string]*wire.Member  // nodes that have a record in the store
 	listed        fleet.Version            // of the last list
+	eraSince      time.Time                // when a list of that era was first read
 	lastFailure   time.Time                // of a list or watch, or the change of the era; unlike Failing, counts a *store.CompactedError
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
 	recordWritten bool                     // this node's record may be in the store; used by Register only
@@ -126,6 +135,7 @@
 			stale = false
 		}
 		f.postHeldRemovals(ctx, time.Now())
+		f.postLapsedEvacuations(ctx, time.Now())
 		var historyLost *store.CompactedError
 		var otherEra *store.EraError
 		mustList := errors.As(err, &historyLost) || errors.As(err, &otherEra)
@@ -173,10 +183,12 @@
 		f.cfg.Daemon.Record(trace.Entry{Kind: "store-restored", Detail: fmt.Sprintf("the store was restored from a copy: era %d after %d, revision %d after %d", r.Era, f.listed.Era, r.Revision, f.listed.Revision)})
 		f.lastFailure = time.Now()
 	}
+	f.recordEra(time.Now(), r.Era)
 	f.listed = version
 	clear(f.nodesByKey)
 	present := f.postChanges(ctx, r, true)
 	f.postNodes(ctx)
+	f.postEndedEvacuations(ctx, r)
 	f.postRemovals(ctx, func(id string) bool { return !present[id] })
 	return version, nil
 }
@@ -270,6 +282,8 @@
 			return f.removalItem(c.ID, v)
 		}
 		item, err = fleet.EndpointItem(c.Record, v)
+	case Evacuation:
+		return evacuationItem(c, v)
 	case Unreadable:
 		f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Endpoint: c.Endpoint, Detail: c.Err.Error()})
 		if c.Endpoint != "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,8 @@
 //     leaving until its record changes in the new era, or for restoreSettleTime.
 //   - The shares that the nodes have of an endpoint's rate limit add up to at most that
 //     limit, if the nodes know the same members and have learned of the limit.
+//   - A data centre is evacuated from the time at which this node learns the item that says so
+//     until it learns that item's removal.
 //   - An item that cannot be decoded yields no endpoint and does not affect the
 //     other items.
 package fleet
@@ -112,6 +114,7 @@
 	shares        map[string]RateShare     // of the limits that count, by endpoint
 	self          string                   // id of this node
 	sharers       []string                 // sorted ids of the nodes that divide the slots of brittle endpoints, this one included
+	evacuated     map[string]Version       // items that evacuate data centres, by data centre
 	mixedAt       map[string]time.Time     // when endpoints of more than one version were last listed, by service
 }
 
--- a/fleet/item.go
+++ b/fleet/item.go
@@ -80,6 +80,9 @@
 // decodeItem returns the record of an item, or a record without content and an error.
 func decodeItem(item *wire.Item) (record, error) {
 	r := record{item: item}
+	if _, evacuation := evacuationOf(item); evacuation {
+		return r, nil
+	}
 	var err error
 	if item.GetName() == tableItem {
 		r.table, err = decodeTable(item)
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -137,6 +137,9 @@
 		v.table = r.table
 		return []kernel.Effect{kernel.Record{Kind: "table", Detail: fmt.Sprintf("routing table version %d", r.table.Version())}}
 	}
+	if centre, evacuation := evacuationOf(r.item); evacuation {
+		return v.putEvacuation(centre, r.item)
+	}
 	if err != nil {
 		return []kernel.Effect{kernel.Record{Kind: "item-unreadable", Detail: err.Error()}}
 	}
