Share what cold endpoints can bear among the nodes

A cold endpoint states its cold time in its record or in X-Cold-Ms; its service states cold-per-s. The nodes divide that rate and half of the allowed excess as they divide stated rate limits.

--- a/entry/call.go
+++ b/entry/call.go
@@ -199,6 +199,7 @@
 		s.heedRateLimit(a.Endpoint, v.RateLimit, sentAt)
 	}
 	if !v.AddressReused && !v.OtherRequest {
+		s.heedCold(now, a.Endpoint, v.Cold, sentAt)
 		s.heedBrittle(now, a.Endpoint, v, sentAt)
 	}
 	switch {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
@@ -47,7 +48,7 @@
 
 // runCrashCheck reports an endpoint as crashed if nothing listens at its address any more.
 func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
-	ended := s.cfg.Relay.HasEnded(ctx, e.Addr)
+	ended := s.cfg.Relay.HasEndedIf(ctx, e.Addr, func() bool { return s.takeCrashCheck(time.Now(), e) })
 	s.mu.Lock()
 	c := s.crashChecks[e.ID]
 	delete(s.crashChecks, e.ID)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,6 +42,7 @@
 	})
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_evacuated_centres", func() float64 { return float64(len(s.view().Evacuations())) })
+	set.GetOrCreateGauge("plantaindeck_cold_endpoints", func() float64 { return float64(s.view().ColdCount()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
 	return &serverMetrics{
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -50,6 +50,7 @@
 			if n.RateLimit != "" {
 				s.heedRateLimit(e, n.RateLimit, sentAt)
 			}
+			s.heedCold(time.Now(), e, n.Cold, sentAt)
 			s.heedNotice(time.Now(), e, refusalNotice(err))
 		})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,9 +78,10 @@
 	Centre      string // data centre
 	Slots       int    // requests that it can run at once
 	Leaving     bool
-	Version     string // of its software
-	StartMillis int64  // start of the process, Unix milliseconds by its host's clock
-	hash        uint64 // hash of ID, which decides the load group that prefers the endpoint
+	Version     string        // of its software
+	StartMillis int64         // start of the process, Unix milliseconds by its host's clock
+	ColdFor     time.Duration // time for which it stays cold from the writing of its record on; 0 if it is not cold
+	hash        uint64        // hash of ID, which decides the load group that prefers the endpoint
 }
 
 // View is the state of the plug-in: what this node knows of the routing table,
@@ -111,7 +112,11 @@
 	remoteUsage   map[string]EndpointUsage // sum over peers, by endpoint
 	leaveReports  map[string]leaveReport   // by endpoint
 	limits        map[string]rateLimit     // by endpoint
-	shares        map[string]RateShare     // of the limits that count, by endpoint
+	shares        map[string]RateShare     // of the limits that count and of what cold endpoints can bear, by endpoint
+	limitedCount  int                      // endpoints that have a rate limit
+	startedAt     time.Time                // when this node's first Tick came; zero before
+	cold          map[string]coldState     // by endpoint
+	coldCount     int                      // cold endpoints whose services bound the requests to them
 	self          string                   // id of this node
 	sharers       []string                 // sorted ids of the nodes that divide the slots of brittle endpoints, this one included
 	evacuated     map[string]Version       // items that evacuate data centres, by data centre
--- a/fleet/item.go
+++ b/fleet/item.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -65,6 +66,7 @@
 		Leaving: e.Leaving,
 		Version: e.Version,
 		Born:    e.StartMillis,
+		Cold:    uint32(e.ColdFor.Milliseconds()),
 	})
 	if err != nil {
 		return nil, &ItemError{Name: e.ID, Err: err}
@@ -121,6 +123,7 @@
 		Leaving:     body.GetLeaving(),
 		Version:     body.GetVersion(),
 		StartMillis: body.GetBorn(),
+		ColdFor:     time.Duration(body.GetCold()) * time.Millisecond,
 		hash:        xxhash.Sum64String(id),
 	}, nil
 }
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -79,7 +79,7 @@
 }
 
 // LimitedCount returns the number of endpoints that have a rate limit.
-func (v *View) LimitedCount() int { return len(v.shares) }
+func (v *View) LimitedCount() int { return v.limitedCount }
 
 // ChangesLimit reports whether a response says something new of an endpoint's rate limit.
 func (v *View) ChangesLimit(e kernel.LimitReported) bool {
@@ -94,7 +94,11 @@
 // highest rank for the endpoint.
 func shareOf(rate float64, endpoint, self string, nodes []string) RateShare {
 	rate = max(rate, minRateLimit)
-	burst := rate*burstTime.Seconds() + burstSlack
+	return divideRate(rate, rate*burstTime.Seconds()+burstSlack, endpoint, self, nodes)
+}
+
+// divideRate divides a rate and a burst of at least 1, as shareOf does.
+func divideRate(rate, burst float64, endpoint, self string, nodes []string) RateShare {
 	sharers := int(min(burst, float64(len(nodes))))
 	if !slices.Contains(nodes, self) || !owner.InTopN(endpoint, self, sharers, nodes) {
 		return RateShare{}
@@ -104,30 +108,43 @@
 
 // sharersOf returns the nodes that may send requests to an endpoint with a rate limit: the
 // load group that prefers it, or all members if there is none in its data centre. It
-// returns nil if that is another group than the given one, this node's.
-func sharersOf(m *member.View, e Endpoint, group LoadGroup, members []string) []string {
-	if group.Covers(e) {
+// returns nil if that is another group than the given one, this node's. The data centres that
+// have members are those of occupied.
+func sharersOf(e Endpoint, group LoadGroup, members []string, occupied map[string]bool) []string {
+	switch {
+	case group.Covers(e):
 		return group.Nodes()
+	case occupied[e.Centre]:
+		return nil
 	}
+	return members
+}
+
+// centresOf returns the data centres of the given members. Load pattern: a whole data centre
+// comes back cold, and a search among 400 members for each of its endpoints at each Tick would
+// take several percent of a core.
+func centresOf(m *member.View, members []string) map[string]bool {
+	centres := map[string]bool{}
 	for _, id := range members {
-		if p, ok := m.Get(id); ok && p.Member.GetCentre() == e.Centre {
-			return nil
+		if p, ok := m.Get(id); ok {
+			centres[p.Member.GetCentre()] = true
 		}
 	}
-	return members
+	return centres
 }
 
-// divideLimits computes this node's shares of the limits that count. An endpoint whose
-// record was removed keeps its limit, as it may still run. Members on hold count: they
-// serve callers, and while only some nodes kept them from being owners, the shares would
-// add up to more than the limit.
-func (v *View) divideLimits(m *member.View) {
-	v.shares = nil
-	if len(v.limits) == 0 {
+// divideLimits computes this node's shares of the limits that count, and of what cold endpoints
+// can bear. An endpoint whose record was removed keeps its limit, as it may still run. Members
+// on hold count: they serve callers, and while only some nodes kept them from being owners, the
+// shares would add up to more than the limit.
+func (v *View) divideLimits(now time.Time, m *member.View) {
+	v.shares, v.limitedCount, v.coldCount = nil, 0, 0
+	if len(v.limits) == 0 && len(v.cold) == 0 {
 		return
 	}
 	members := m.UsableIDs()
 	group := loadGroupAmong(m, members)
+	occupied := centresOf(m, members)
 	for id, l := range v.limits {
 		e, listed := v.Endpoint(id)
 		if l.lifted || listed && e.StartMillis != l.startMillis {
@@ -136,7 +153,11 @@
 		if v.shares == nil {
 			v.shares = map[string]RateShare{}
 		}
-		v.shares[id] = shareOf(l.rate, id, m.Self().GetId(), sharersOf(m, e, group, members))
+		v.shares[id] = shareOf(l.rate, id, m.Self().GetId(), sharersOf(e, group, members, occupied))
+	}
+	v.limitedCount = len(v.shares)
+	if len(v.cold) > 0 {
+		v.divideCold(now, m)
 	}
 }
 
@@ -145,7 +166,7 @@
 	l.receivedAt = now
 	v.limits = kernel.CloneMap(v.limits)
 	v.limits[id] = l
-	v.divideLimits(m)
+	v.divideLimits(now, m)
 	detail := fmt.Sprintf("change %d by %s: it states no limit any more", l.number, source)
 	if !l.lifted {
 		share := v.shares[id]
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -26,6 +26,8 @@
 		return v.recordLeaveReport(now, member.Of(s), e)
 	case kernel.LimitReported:
 		return v.recordLimit(now, member.Of(s), e)
+	case kernel.ColdReported:
+		return v.recordCold(now, member.Of(s), e)
 	case kernel.LocalUsageReported:
 		return v.setLocalUsage(now, member.Of(s), e)
 	case kernel.FrameReceived:
@@ -44,7 +46,8 @@
 	case *wire.Frame_Usage:
 		next := v.mergeUsage(now, m, e.From, body.Usage)
 		effects, _ := next.markLeaving(now, next.decodeLeaving(now, body.Usage))
-		return next, append(effects, next.mergeLimits(now, m, body.Usage.GetLimits())...)
+		effects = append(effects, next.mergeLimits(now, m, body.Usage.GetLimits())...)
+		return next, append(effects, next.mergeCold(now, m, body.Usage.GetCold())...)
 	}
 	return v, nil
 }
@@ -84,6 +87,9 @@
 			next.refreshEndpoint(strings.TrimPrefix(item.GetName(), endpointPrefix))
 		}
 	}
+	if len(next.cold) > 0 {
+		next.divideLimits(now, m) // a node that waited for the next Tick could send too much before
+	}
 	if complete && len(changed) > maxForwardedItems {
 		return &next, effects
 	}
@@ -158,6 +164,9 @@
 		v.leaveReports[e.ID] = leaveReport{startMillis: e.StartMillis, record: version, lapsesAt: now.Add(restoreSettleTime)}
 	}
 	effects := []kernel.Effect{kernel.Record{Kind: "endpoint", Endpoint: e.ID, Detail: detail}}
+	if !r.item.GetRemoved() {
+		effects = append(effects, v.setColdByRecord(now, e)...)
+	}
 	if r.item.GetRemoved() || e.Leaving {
 		effects = append(effects, kernel.NotifyLeaving{Endpoint: e.ID})
 	}
@@ -283,7 +292,10 @@
 func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
 	next := *v
 	next.group = loadGroupOf(m)
-	next.divideLimits(m)
+	if next.startedAt.IsZero() {
+		next.startedAt = now
+	}
+	next.divideLimits(now, m)
 	// Members on hold serve callers, as in divideLimits.
 	next.self, next.sharers = m.Self().GetId(), loadGroupAmong(m, m.UsableIDs()).Nodes()
 	var effects []kernel.Effect
@@ -292,6 +304,7 @@
 		next.expireTombstones(now)
 		next.expireReports(now)
 		next.expireLimits(now)
+		next.expireCold(now)
 		next.recordMixed(now)
 		for _, id := range m.Neighbours() {
 			effects = append(effects, next.sendItems(id, nil))
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -129,6 +129,7 @@
 	u := &wire.Usage{Contact: v.contactAge(now)}
 	v.addLeaving(now, u)
 	v.addLimits(u)
+	v.addCold(now, u)
 	return u
 }
 
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -146,6 +146,15 @@
 	SentAt      time.Time // when the request was sent to which the endpoint responded
 }
 
+// ColdReported reports how much longer an endpoint stays cold, as it stated to this node in a
+// response.
+type ColdReported struct {
+	Endpoint    string
+	StartMillis int64         // start of the endpoint's process, Unix milliseconds
+	Left        time.Duration // 0 if it is not cold
+	SentAt      time.Time     // when the request was sent to which the endpoint responded
+}
+
 // StreamBegan reports that a caller gets the first event of a stream that it may take up
 // again at any node.
 type StreamBegan struct {
@@ -197,6 +206,7 @@
 func (LocalUsageReported) isEvent() {}
 func (LeaveReported) isEvent()      {}
 func (LimitReported) isEvent()      {}
+func (ColdReported) isEvent()       {}
 func (StreamBegan) isEvent()        {}
 func (OriginAsked) isEvent()        {}
 func (EndpointCrashed) isEvent()    {}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -117,11 +117,17 @@
 // HasEnded reports whether the process at an address has ended, after a connection to it broke:
 // nothing listens there any more.
 func (c *Client) HasEnded(ctx context.Context, addr string) bool {
+	return c.HasEndedIf(ctx, addr, func() bool { return true })
+}
+
+// HasEndedIf is HasEnded for an endpoint that takes few connections: each one is made only if
+// allowed returns true.
+func (c *Client) HasEndedIf(ctx context.Context, addr string, allowed func() bool) bool {
 	for range endChecks {
 		if !wait.For(ctx, endCheckDelay) {
 			return false
 		}
-		if c.isClosed(ctx, addr) {
+		if allowed() && c.isClosed(ctx, addr) {
 			return true
 		}
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -99,6 +99,15 @@
 	Health   string  // path of the health check
 	MaxConns int     `json:"Conns"` // limit of the connections to an endpoint, from all nodes together
 	Engine   *Engine // nil for a service without model engines
+	Cold     ColdBound
+}
+
+// ColdBound says how many requests a cold endpoint can bear in any second, from all nodes
+// together: PerSecond times Excess plus Slack.
+type ColdBound struct {
+	PerSecond float64 // 0 for no bound
+	Excess    float64
+	Slack     float64
 }
 
 // Workspace is a customer, whose requests carry one of its keys.
