--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
@@ -18,7 +19,8 @@
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
 // request broke before it had any output, or adds the request to the check that runs. A
 // request that a quarantine has ended may still have crashed the endpoint, and explains it. An
-// endpoint that is leaving ends as planned, so it is not checked.
+// endpoint that is leaving ends as planned, so it is not checked, and neither is one in an
+// evacuated data centre, as it gets no more connections.
 func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
 	var lost *relay.LostError
 	var carrier *relay.CarrierError
@@ -28,7 +30,7 @@
 	if ctx.Err() != nil && !wasAborted(ctx) || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving {
+	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving || s.view().IsEvacuated(now) {
 		return
 	}
 	s.mu.Lock()
@@ -46,7 +48,7 @@
 
 // runCrashCheck reports an endpoint as crashed if nothing listens at its address any more.
 func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
-	ended := s.cfg.Relay.HasEnded(ctx, e.Addr)
+	ended := s.cfg.Relay.HasEndedIf(ctx, e.Addr, func() bool { return s.takeCrashCheck(time.Now(), e) })
 	s.mu.Lock()
 	c := s.crashChecks[e.ID]
 	delete(s.crashChecks, e.ID)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,6 +116,8 @@
 	RetryAfter    string // of a refusal: seconds for which the endpoint wants no requests from this node; empty for none
 	RateLimit     string // requests a second that the endpoint takes from all nodes together; empty for no limit
 	Brittle       string // requests that the endpoint may reject in a second, for want of room, before it falls over; empty if it is not brittle
+	// Cold is how much longer the endpoint stays cold; 0 if it is not cold, nil if it does not say.
+	Cold *time.Duration
 }
 
 // LeaveNotice is an engine's answer to whether it is leaving.
@@ -126,6 +128,8 @@
 	// RateLimit is the number of requests a second that the engine takes from all nodes
 	// together; empty if it states no limit.
 	RateLimit string
+	// Cold is as in Verdict.
+	Cold *time.Duration
 }
 
 // Dialect is the protocol of the endpoints.
@@ -350,7 +354,7 @@
 // restError returns the error for a request that has not run while every endpoint wants
 // no requests, the first of them for the given time.
 func (s *Server) restError(rr *routedRequest, rest time.Duration) *apierr.Error {
-	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q takes requests for %s", rr.service.Name, rest.Round(time.Millisecond)).WithRetryAfter(rest + s.addJitter(restRetrySpread))
+	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "no endpoint of %q takes requests %s", rr.service.Name, describeRest(rest)).WithRetryAfter(retryAfterRest(rest) + s.addJitter(restRetrySpread))
 }
 
 // finalError returns the error for a request to which no endpoint gave a
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -50,6 +50,7 @@
 			if n.RateLimit != "" {
 				s.heedRateLimit(e, n.RateLimit, sentAt)
 			}
+			s.heedCold(time.Now(), e, n.Cold, sentAt)
 			s.heedNotice(time.Now(), e, refusalNotice(err))
 		})
 	}
@@ -67,7 +68,7 @@
 	var list []fleet.Endpoint
 	for _, id := range v.EndpointIDs() {
 		e, _ := v.Endpoint(id)
-		if e.Leaving || v.Table() == nil {
+		if e.Leaving || v.Table() == nil || v.IsEvacuated(e) {
 			continue
 		}
 		svc, ok := v.Table().Service(e.Service)
