Measure the speeds of engines and tell the load group

Nodes sample the time between events and the prefill rate of the engines that run their generations, and send them with the usage (Use fields slow and prefill). Receivers add them up and take the mean. Choices do not use them yet. Changes under a fifth are sent only with other changes.

With a decay of 3 s and a prior of two samples, one prefill sample every 4.5 s had next to no effect (5,937 tokens per second where 2,800 are true); prefill rates now decay over 15 s with a prior of one.

go test ./speed, and ./entry and ./fleet for the tests concerned, pass.

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -27,6 +27,8 @@
 	startedAt         time.Time
 	firstEventAt      time.Time     // when the first event from this engine arrived
 	events            int           // received from this engine
+	gapsFrom          time.Time     // arrival of the event from which the next sample of gaps counts
+	gapEvents         int           // since then
 	eventsBefore      int           // sent to the caller before this segment
 	expectedEvents    int           // of the whole generation
 	movedTo           *destination  // where the generation continues when this segment ends; nil while that is not decided
@@ -83,16 +85,19 @@
 // recordEvent counts an event from the engine. The first one shows that the
 // engine has prefilled the prompt.
 func (g *generation) recordEvent(seg *segment) {
-	s := g.server
+	s, now := g.server, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if g.routed.isTimed() {
+		g.measure(now, s.view(), seg)
+	}
 	if seg.events == 0 {
-		seg.firstEventAt = time.Now()
+		seg.firstEventAt = now
 	}
 	seg.events++
 	if g.promptPending {
 		g.promptPending = false
-		s.usage.add(time.Now(), seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
+		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,6 +42,8 @@
 	})
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
+	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="slowest"}`, func() float64 { slowest, _ := s.slowFactors(time.Now()); return slowest })
+	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="median"}`, func() float64 { _, median := s.slowFactors(time.Now()); return median })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
 	return &serverMetrics{
 		set:           set,
--- a/entry/room.go
+++ b/entry/room.go
@@ -37,6 +37,7 @@
 	until := began.Add(rr.roomWait())
 	for {
 		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
+			g.placedAt, g.pendingAtPlacement = time.Now(), c.PendingPrompt+sel.use.prompt
 			s.recordPlacement(rr, e, c)
 			return e, true
 		}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -37,12 +37,15 @@
 	tokens        int            // KV cache that the generation is expected to need, in tokens
 	headerSent    bool           // the status and header were sent to the caller
 	promptPending bool           // the usage tracker counts the prompt as pending
-	header        http.Header    // for the caller, from the first endpoint's response
-	attempts      int
-	refusals      int
-	lastErr       error
-	version       *string       // of the engines that made the events which the caller has; nil if it has none
-	rest          time.Duration // until the first engine takes requests again, when that kept the generation from being placed; else 0
+	placedAt      time.Time      // when an engine was last chosen that has to prefill the prompt
+	// pendingAtPlacement is the pending prompt of that engine then, this generation's included.
+	pendingAtPlacement int
+	header             http.Header // for the caller, from the first endpoint's response
+	attempts           int
+	refusals           int
+	lastErr            error
+	version            *string       // of the engines that made the events which the caller has; nil if it has none
+	rest               time.Duration // until the first engine takes requests again, when that kept the generation from being placed; else 0
 
 	// Guarded by the server's mutex.
 	current *segment // nil while no engine runs the generation
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -9,6 +9,7 @@
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/place"
+	"github.com/plantaindeck/plantaindeck/speed"
 	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/wire"
 	"golang.org/x/time/rate"
@@ -33,8 +34,9 @@
 // of its recent requests there.
 type usageTracker struct {
 	endpoints  map[string]*endpointStats
-	changed    bool      // since the last report
-	reportedAt time.Time // when the kernel was last given a report
+	baselines  map[string]serviceBaseline // of the engines' speeds, by service
+	changed    bool                       // since the last report
+	reportedAt time.Time                  // when the kernel was last given a report
 }
 
 // endpointStats is what the tracker holds of one endpoint.
@@ -48,6 +50,8 @@
 	backoffUntil    time.Time // until then the endpoint is chosen only if there is no other
 	restUntil       time.Time // until then the endpoint wants no requests from this node
 	brittle         brittleness
+	speed           speed.Estimate
+	service         string        // of the engine that speed describes
 	limiter         *rate.Limiter // keeps this node's share of the endpoint's rate limit; nil if it has had none
 }
 
@@ -74,7 +78,7 @@
 }
 
 func newUsageTracker() *usageTracker {
-	return &usageTracker{endpoints: map[string]*endpointStats{}}
+	return &usageTracker{endpoints: map[string]*endpointStats{}, baselines: map[string]serviceBaseline{}}
 }
 
 // stats returns the stats of an endpoint and creates them if there are none.
@@ -238,9 +242,11 @@
 	}
 	for id, st := range s.usage.endpoints {
 		st.decay(now)
-		if u := st.toWire(now, id); st.requests > 0 || st.tokens > 0 || u.Bad > 0 || u.Brittle {
+		u := st.toWire(now, id)
+		s.usage.addSpeed(now, st, u)
+		if st.requests > 0 || st.tokens > 0 || u.Bad > 0 || u.Brittle || u.Slow >= minIdleSlow {
 			report.Uses = append(report.Uses, u)
-		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) {
+		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) && !st.speed.Known(now) {
 			delete(s.usage.endpoints, id)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,14 +136,22 @@
 	Unreachable   int // nodes whose last connection to it failed a moment ago
 	Brittle       int // nodes to which it said in its last response that it is brittle
 	Full          int // nodes of which it rejected a request a moment ago while it was brittle
+	Slow          int // sum of the slow factors that SlowNodes nodes measured, hundredths
+	SlowNodes     int
+	Prefill       int // sum of the prefill rates that PrefillNodes nodes measured, tokens per second
+	PrefillNodes  int
 }
 
 // differs reports whether the difference between u and the usage sent before is
 // worth a message. Any change of what runs is. A change of the outcomes is worth
-// one only if the failures rose or fell by minFailureChange or more.
+// one only if the failures rose or fell by minFailureChange or more, and one of the speeds
+// only if it is large.
 func (u EndpointUsage) differs(sent EndpointUsage) bool {
 	change := u.Failures - sent.Failures
 	u.Successes, u.Failures, sent.Successes, sent.Failures = 0, 0, 0, 0
+	if !speedChanged(u.Slow, sent.Slow) && !speedChanged(u.Prefill, sent.Prefill) {
+		u = u.withSpeed(sent)
+	}
 	return u != sent || change >= minFailureChange || -change >= minFailureChange
 }
 
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -81,6 +81,10 @@
 		PendingPrompt: int(u.GetPrompt()),
 		Successes:     int(u.GetGood()),
 		Failures:      int(u.GetBad()),
+		Slow:          int(u.GetSlow()),
+		SlowNodes:     countIf(u.GetSlow() > 0),
+		Prefill:       int(u.GetPrefill()),
+		PrefillNodes:  countIf(u.GetPrefill() > 0),
 	}
 }
 
@@ -103,6 +107,8 @@
 		Prompt:      uint32(u.PendingPrompt),
 		Good:        uint32(u.Successes),
 		Bad:         uint32(u.Failures),
+		Slow:        uint32(u.Slow),
+		Prefill:     uint32(u.Prefill),
 	}
 }
 
@@ -188,6 +194,7 @@
 		s.PendingPrompt += sign * u.PendingPrompt
 		s.Brittle += sign * u.Brittle
 		s.Full += sign * u.Full
+		s.addSpeed(u, sign)
 		if p.sameCentre {
 			s.Successes += sign * u.Successes
 			s.Failures += sign * u.Failures
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -26,12 +26,13 @@
 const TTL = 30 * time.Second
 
 const (
-	decayTime     = 3 * time.Second // time in which the weight of a sample falls to 1/e
-	stepPrior     = 8.0             // weight of the median time per token, in samples; an engine sends some 30 events a second for a generation
-	prefillPrior  = 2.0             // weight of the median prefill time, in samples; there is one for each generation
-	maxRatio      = 4.0             // samples are clipped to this many times the baseline, and to its inverse
-	batchGrowth   = 1.0 / 60        // fraction by which a step is longer for each running generation
-	minPromptSize = 500             // pending prompt tokens below which a time to the first event shows the latency of the network rather than the prefill rate
+	stepDecay     = 5 * time.Second  // time in which the weight of a sample of the time per token falls to 1/e
+	prefillDecay  = 15 * time.Second // the same of the prefill rate; a node may send an engine one generation in many seconds
+	stepPrior     = 8.0              // weight of the median time per token, in samples; an engine sends some 30 events a second for a generation
+	prefillPrior  = 1.0              // weight of the median prefill time, in samples; there is one for each generation
+	maxRatio      = 4.0              // samples are clipped to this many times the baseline, and to its inverse
+	batchGrowth   = 1.0 / 60         // fraction by which a step is longer for each running generation
+	minPromptSize = 500              // pending prompt tokens below which a time to the first event shows the latency of the network rather than the prefill rate
 )
 
 // mean is a decayed mean of samples.
@@ -42,7 +43,7 @@
 
 func (m mean) known(now time.Time) bool { return m.weight > 0 && now.Sub(m.at) < TTL }
 
-func (m mean) with(now time.Time, x, baseline float64) mean {
+func (m mean) with(now time.Time, decay time.Duration, x, baseline float64) mean {
 	if baseline > 0 {
 		x = min(max(x, baseline/maxRatio), baseline*maxRatio)
 	}
@@ -50,21 +51,21 @@
 		return mean{sum: x, weight: 1, at: now}
 	}
 	// Samples of concurrent generations may come slightly out of order.
-	factor := math.Exp(-float64(max(now.Sub(m.at), 0)) / float64(decayTime))
+	factor := math.Exp(-float64(max(now.Sub(m.at), 0)) / float64(decay))
 	return mean{sum: m.sum*factor + x, weight: m.weight*factor + 1, at: now}
 }
 
 // value returns the mean, shrunk towards the baseline by the weight of the prior, or 0
 // if it is unknown. The weight of the samples decays until now, so that the value
 // returns to the baseline when no samples come.
-func (m mean) value(now time.Time, baseline, prior float64) float64 {
+func (m mean) value(now time.Time, decay time.Duration, baseline, prior float64) float64 {
 	if !m.known(now) {
 		return 0
 	}
 	if baseline == 0 {
 		return m.sum / m.weight
 	}
-	factor := math.Exp(-float64(max(now.Sub(m.at), 0)) / float64(decayTime))
+	factor := math.Exp(-float64(max(now.Sub(m.at), 0)) / float64(decay))
 	return (m.sum*factor + prior*baseline) / (m.weight*factor + prior)
 }
 
@@ -114,7 +115,7 @@
 	if gap <= 0 || tokens <= 0 {
 		return e
 	}
-	e.step = e.step.with(now, gap.Seconds()/float64(tokens)/load(running), b.step)
+	e.step = e.step.with(now, stepDecay, gap.Seconds()/float64(tokens)/load(running), b.step)
 	return e
 }
 
@@ -124,22 +125,25 @@
 	if took <= 0 || pending < minPromptSize {
 		return e
 	}
-	e.prefill = e.prefill.with(now, took.Seconds()/float64(pending), b.prefill)
+	e.prefill = e.prefill.with(now, prefillDecay, took.Seconds()/float64(pending), b.prefill)
 	return e
 }
 
+// Known reports whether the estimate has samples that are not forgotten.
+func (e Estimate) Known(now time.Time) bool { return e.step.known(now) || e.prefill.known(now) }
+
 // Slow returns the time per token relative to the baseline, or 0 if it is unknown.
 func (e Estimate) Slow(now time.Time, b Baseline) float64 {
 	if b.step == 0 {
 		return 0
 	}
-	return e.step.value(now, b.step, stepPrior) / b.step
+	return e.step.value(now, stepDecay, b.step, stepPrior) / b.step
 }
 
 // PrefillRate returns the prompt tokens that the engine prefills in a second, or 0 if that
 // is unknown.
 func (e Estimate) PrefillRate(now time.Time, b Baseline) float64 {
-	if perToken := e.prefill.value(now, b.prefill, prefillPrior); perToken > 0 {
+	if perToken := e.prefill.value(now, prefillDecay, b.prefill, prefillPrior); perToken > 0 {
 		return 1 / perToken
 	}
 	return 0
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -67,7 +67,7 @@
 func TestOldSamplesAreForgotten(t *testing.T) {
 	list, b, now := learn([]float64{1, 1, 2})
 	qt.Assert(t, list[2].Slow(now, b) > 1.5, qt.IsTrue)
-	assertNear(t, list[2].Slow(now.Add(15*time.Second), b), 1, 0.1)
+	assertNear(t, list[2].Slow(now.Add(25*time.Second), b), 1, 0.1)
 	later := now.Add(speed.TTL)
 	qt.Assert(t, list[2].Slow(later, b), qt.Equals, 0.0)
 	qt.Assert(t, list[2].PrefillRate(later, b), qt.Equals, 0.0)
