Choose engines by expected times

Requests of routes with a latency or gap objective fit an engine only if their first event is expected in time and they leave room for the most urgent requests there (half of their objective). Engines that nobody has measured count as the median of the others. Engines with too long gaps are chosen last. An engine without pending prompts fits by time whatever the prompt, since a prompt that is too long for its objective would never be served otherwise.

--- a/entry/call.go
+++ b/entry/call.go
@@ -52,7 +52,7 @@
 			s.addUsage(e.ID, usage{requests: -1})
 			break
 		}
-		s.recordPlacement(rr, e, c)
+		s.recordPlacement(rr, e, c, 0)
 		rr.tried = append(rr.tried, e.ID)
 		r, err := s.callEndpoint(ctx, rr, e)
 		if err == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -263,12 +263,12 @@
 }
 
 // recordPlacement records which endpoint a request is sent to, and the load and
-// failures by which it was chosen.
-func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate) {
+// failures by which it was chosen. First is the expected time to the first event, 0 if unknown.
+func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate, first time.Duration) {
 	detail := fmt.Sprintf(
 		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint runs version %s and has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
 		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)
-	detail += "; " + rr.describeTraits()
+	detail += describeSpeed(c, first) + "; " + rr.describeTraits()
 	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: detail})
 }
 
--- a/entry/room.go
+++ b/entry/room.go
@@ -31,14 +31,16 @@
 		version: g.version,
 		avoid:   rr.tried,
 		use:     g.usageOnEngine(),
+		timed:   rr.isTimed(),
 	}
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
 	for {
+		sel.need.Timing = g.timing(time.Now(), s.view().Table())
 		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
 			g.placedAt, g.pendingAtPlacement = time.Now(), c.PendingPrompt+sel.use.prompt
-			s.recordPlacement(rr, e, c)
+			s.recordPlacement(rr, e, c, place.FirstEvent(sel.need, c))
 			return e, true
 		}
 		if g.version != nil && !serves(s.view(), rr.service.Name, *g.version) {
@@ -81,7 +83,7 @@
 		return text
 	}
 	c := slices.MinFunc(candidates, func(a, b place.Candidate) int { return cmp.Compare(a.Tokens, b.Tokens) })
-	return text + fmt.Sprintf("; the emptiest, %s, has %d of %d slots and %d of %d tokens in use", c.ID, c.Requests, c.Slots, c.Tokens, c.Memory)
+	return text + fmt.Sprintf("; the emptiest, %s, has %d of %d slots and %d of %d tokens in use%s", c.ID, c.Requests, c.Slots, c.Tokens, c.Memory, describeSpeed(c, place.FirstEvent(sel.need, c)))
 }
 
 // maxFill returns the fraction of an engine's memory up to which the request is
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -1,17 +1,21 @@
 package entry
 
 import (
+	"fmt"
 	"math"
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/speed"
+	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
 const (
 	gapSampleTime    = 50 * time.Millisecond  // shortest time of a sample of gaps; events that arrive in one read have no gap between them
 	baselineInterval = 250 * time.Millisecond // between two computations of a service's medians
+	urgentShare      = 2                      // a less urgent prompt may take this part of the most urgent routes' objective
 	minIdleSlow      = 125                    // hundredths; an engine on which this node runs nothing is reported only if it is this slow, to save bytes
 )
 
@@ -121,3 +125,63 @@
 	}
 	return slowest, speed.MedianOf(factors)
 }
+
+// addSpeeds sets the speeds of the engines. Those that nobody has measured count as the
+// median of the others.
+func (t *usageTracker) addSpeeds(now time.Time, view *fleet.View, svc *table.Service, candidates []place.Candidate) {
+	for i := range candidates {
+		c := &candidates[i]
+		c.SlowFactor, c.PrefillRate = t.speedOf(now, c.ID, view.RemoteUsage(c.ID))
+	}
+	place.AssumeMedian(candidates)
+	b := t.baseline(now, svc.Name)
+	for i := range candidates {
+		c := &candidates[i]
+		event := b.TokenTime(c.Requests+1) * time.Duration(max(svc.Engine.TokensPerEvent, 1))
+		c.Gap = time.Duration(float64(event) * c.SlowFactor)
+	}
+}
+
+// preferSteady removes the engines whose expected time between events exceeds the request's
+// objective, unless all do.
+func preferSteady(n place.Need, endpoints []fleet.Endpoint, candidates []place.Candidate) ([]fleet.Endpoint, []place.Candidate) {
+	if n.MaxGap == 0 {
+		return endpoints, candidates
+	}
+	var steady []fleet.Endpoint
+	var kept []place.Candidate
+	for i, c := range candidates {
+		if !place.SlowGap(n, c) {
+			steady, kept = append(steady, endpoints[i]), append(kept, c)
+		}
+	}
+	if len(kept) == 0 {
+		return endpoints, candidates
+	}
+	return steady, kept
+}
+
+// timing returns what the generation needs of an engine's speed. A generation whose caller
+// has events has met its objective or missed it.
+func (g *generation) timing(now time.Time, t *table.Table) place.Timing {
+	rr := g.routed
+	if !rr.isTimed() {
+		return place.Timing{}
+	}
+	need := place.Timing{Prompt: rr.req.PromptTokens, MaxGap: rr.route.GapObjective}
+	if rr.route.LatencyObjective > 0 && g.events == 0 && rr.req.LastEventID == "" {
+		need.TimeLeft = max(rr.req.Arrived.Add(rr.route.LatencyObjective).Sub(now), 0)
+	}
+	if u, ok := t.MostUrgent(rr.service.Name); ok && u.Priority < rr.priority {
+		need.UrgentLimit = u.LatencyObjective / urgentShare
+	}
+	return need
+}
+
+// describeSpeed describes for the log the speed by which an engine was chosen, if it is known.
+func describeSpeed(c place.Candidate, first time.Duration) string {
+	if c.PrefillRate == 0 && c.SlowFactor == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", the first event expected after %s (0s: unknown), speed factor %.2f", first.Round(time.Millisecond), c.SlowFactor)
+}
--- a/entry/speed_test.go
+++ b/entry/speed_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
@@ -51,3 +52,38 @@
 	slow, rate = s.usage.speedOf(now, "unknown", fleet.EndpointUsage{})
 	qt.Assert(t, slow+rate, qt.Equals, 0.0)
 }
+
+// TestTiming fails if a generation without an objective, or one that has passed it, is kept
+// from engines by time, or if the most urgent ones limit themselves.
+func TestTiming(t *testing.T) {
+	shares := []table.Share{{Service: "model", Weight: 1}}
+	routes := []table.Route{
+		{Name: "check", Host: "h", Prefix: "/c/", Kind: table.KindStream, LatencyObjective: 1500 * time.Millisecond, Shares: shares},
+		{Name: "draft", Host: "h", Prefix: "/d/", Kind: table.KindStream, LatencyObjective: 4 * time.Second, Priority: 2, Shares: shares},
+	}
+	tab, now := table.New(table.Config{Routes: routes}), time.Unix(1e9, 0)
+	timing := func(route table.Route, age time.Duration, events int) place.Timing {
+		g := generationOn(nil, now, 0)
+		g.routed.route, g.routed.priority, g.events = &route, route.Priority, events
+		g.routed.req.Arrived = now.Add(-age)
+		return g.timing(now, tab)
+	}
+	qt.Assert(t, timing(routes[0], time.Second, 0), qt.Equals, place.Timing{Prompt: 1000, TimeLeft: 500 * time.Millisecond})
+	qt.Assert(t, timing(routes[1], time.Second, 0), qt.Equals, place.Timing{Prompt: 1000, TimeLeft: 3 * time.Second, UrgentLimit: 750 * time.Millisecond})
+	qt.Assert(t, timing(routes[1], 5*time.Second, 0).TimeLeft, qt.Equals, time.Duration(0))
+	qt.Assert(t, timing(routes[1], time.Second, 3).TimeLeft, qt.Equals, time.Duration(0))
+	qt.Assert(t, timing(table.Route{}, 0, 0), qt.Equals, place.Timing{})
+}
+
+// TestSteadyEnginesFirst fails if an engine whose events come too slowly is chosen while
+// others fit, or if nothing is chosen when all are too slow.
+func TestSteadyEnginesFirst(t *testing.T) {
+	need := place.Need{Timing: place.Timing{MaxGap: 180 * time.Millisecond}}
+	endpoints := []fleet.Endpoint{{ID: "a"}, {ID: "b"}}
+	gaps := []place.Candidate{{Gap: 200 * time.Millisecond}, {Gap: 40 * time.Millisecond}}
+	kept, _ := preferSteady(need, endpoints, gaps)
+	qt.Assert(t, kept, qt.HasLen, 1)
+	qt.Assert(t, kept[0].ID, qt.Equals, "b")
+	kept, _ = preferSteady(need, endpoints[:1], gaps[:1])
+	qt.Assert(t, kept, qt.HasLen, 1)
+}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -262,6 +262,7 @@
 	version *string  // that the endpoint must run; nil for any
 	avoid   []string // ids of endpoints that are not chosen
 	use     usage    // added to the usage of the endpoint that is chosen
+	timed   bool     // the choice considers the speeds of engines
 }
 
 // reserveEndpoint chooses a usable endpoint, adds the request to its usage and counts it
@@ -289,8 +290,16 @@
 func (s *Server) fittingCandidates(now time.Time, view *fleet.View, sel selection) ([]fleet.Endpoint, []place.Candidate) {
 	var endpoints []fleet.Endpoint
 	var candidates []place.Candidate
-	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid) {
-		c := s.candidate(now, view, sel.service, e, sel.centre)
+	usable := s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid)
+	all := make([]place.Candidate, len(usable))
+	for i, e := range usable {
+		all[i] = s.candidate(now, view, sel.service, e, sel.centre)
+	}
+	if sel.timed {
+		s.usage.addSpeeds(now, view, sel.service, all)
+	}
+	for i, e := range usable {
+		c := all[i]
 		maxFill := sel.maxFill
 		if s.usage.isBrittle(now, view, e.ID) {
 			maxFill = min(maxFill, place.MaxFillNew)
@@ -300,7 +309,7 @@
 			candidates = append(candidates, c)
 		}
 	}
-	return endpoints, candidates
+	return preferSteady(sel.need, endpoints, candidates)
 }
 
 // consideredEndpoints returns the endpoints that a choice considers: all those
--- a/place/place.go
+++ b/place/place.go
@@ -12,16 +12,18 @@
 import (
 	"math/rand/v2"
 	"sort"
+	"time"
 )
 
 // These are the terms of Score, in which all slots in use cost 1.
 const (
-	otherCentrePenalty   = 0.02 // for an endpoint outside the data centre that the choice prefers
-	stalePenalty         = 3.0  // for an endpoint whose remote usage is stale
-	failurePenalty       = 1.5  // for an endpoint all of whose recent requests failed
-	queuePenalty         = 2.0  // for needing twice the slots or twice the memory; proportional to the excess
-	memoryWeight         = 1.0  // weight of the used fraction of the memory; that of the slots has 1
-	fullLoadPromptTokens = 4000 // pending prompt tokens that cost as much as all slots in use; prefill takes about half a second
+	otherCentrePenalty   = 0.02                   // for an endpoint outside the data centre that the choice prefers
+	stalePenalty         = 3.0                    // for an endpoint whose remote usage is stale
+	failurePenalty       = 1.5                    // for an endpoint all of whose recent requests failed
+	queuePenalty         = 2.0                    // for needing twice the slots or twice the memory; proportional to the excess
+	memoryWeight         = 1.0                    // weight of the used fraction of the memory; that of the slots has 1
+	fullLoadPromptTokens = 4000                   // pending prompt tokens that cost as much as all slots in use, if the prefill rate is unknown; prefill takes about half a second
+	fullLoadPrefill      = 500 * time.Millisecond // expected time to the first event that costs as much
 )
 
 // Fractions of an engine's memory up to which generations are placed there,
@@ -36,19 +38,23 @@
 // Candidate is an endpoint as this node knows it.
 type Candidate struct {
 	ID            string
-	SameCentre    bool    // in the data centre that the choice prefers
-	Stale         bool    // the remote usage is known only seconds late
-	Slots         int     // requests that it can run at once
-	Requests      int     // running or waiting there, from all nodes
-	Memory        int     // KV cache, tokens; 0 for a plain service
-	Tokens        int     // KV cache that Requests are expected to need, tokens
-	PendingPrompt int     // prompt tokens whose prefill is pending
-	FailureRate   float64 // fraction of recent requests that failed, in [0, 1]
+	SameCentre    bool          // in the data centre that the choice prefers
+	Stale         bool          // the remote usage is known only seconds late
+	Slots         int           // requests that it can run at once
+	Requests      int           // running or waiting there, from all nodes
+	Memory        int           // KV cache, tokens; 0 for a plain service
+	Tokens        int           // KV cache that Requests are expected to need, tokens
+	PendingPrompt int           // prompt tokens whose prefill is pending
+	FailureRate   float64       // fraction of recent requests that failed, in [0, 1]
+	PrefillRate   float64       // prompt tokens that it prefills in a second; 0 for unknown
+	SlowFactor    float64       // time between events relative to the service's median engine; 0 for unknown
+	Gap           time.Duration // expected between two events with one more generation; 0 for unknown
 }
 
 // Need is what a request needs of an endpoint.
 type Need struct {
 	Tokens int // KV cache that the request is expected to need, tokens
+	Timing
 }
 
 // Score returns the cost of sending a request to c; lower is better. All slots
@@ -57,6 +63,9 @@
 	slots := float64(max(c.Slots, 1))
 	load := float64(c.Requests+1) / slots
 	score := load
+	if c.SlowFactor > 0 {
+		score *= c.SlowFactor // its generations hold their slots for so much longer
+	}
 	if load > 1 {
 		score += queuePenalty * (load - 1)
 	}
@@ -67,7 +76,7 @@
 			score += queuePenalty * (used - 1)
 		}
 	}
-	score += float64(c.PendingPrompt) / fullLoadPromptTokens
+	score += prefillCost(n, c)
 	if !c.SameCentre {
 		score += otherCentrePenalty
 	}
@@ -96,8 +105,8 @@
 	return order[min(a, b)], true
 }
 
-// Fits reports whether c has a free slot, and whether the request fits into the
-// fraction maxFill of its memory.
+// Fits reports whether c has a free slot, whether the request fits into the
+// fraction maxFill of its memory, and whether it fits by time.
 func Fits(n Need, c Candidate, maxFill float64) bool {
-	return c.Requests < c.Slots && (c.Memory == 0 || float64(c.Tokens+n.Tokens) <= maxFill*float64(c.Memory))
+	return c.Requests < c.Slots && fitsTime(n, c) && (c.Memory == 0 || float64(c.Tokens+n.Tokens) <= maxFill*float64(c.Memory))
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/plantaindeck/plantaindeck/place"
@@ -86,3 +87,39 @@
 		})
 	}
 }
+
+// TestFitsByTime fails if a request is placed where it is expected to miss its objective or
+// to make more urgent ones miss theirs, or if it is then placed nowhere for ever.
+func TestFitsByTime(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		timing place.Timing
+		rate   float64
+		want   bool
+	}{
+		{"in time", place.Timing{Prompt: 2000, TimeLeft: time.Second}, 6000, true},
+		{"late", place.Timing{Prompt: 3000, TimeLeft: time.Second}, 6000, false},
+		{"in the way of urgent ones", place.Timing{Prompt: 2000, TimeLeft: 4 * time.Second, UrgentLimit: 900 * time.Millisecond}, 6000, false},
+		{"objective has passed", place.Timing{Prompt: 9000, UrgentLimit: time.Millisecond}, 6000, true},
+		{"speed unknown", place.Timing{Prompt: 9000, TimeLeft: time.Second}, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := place.Candidate{Slots: 2, Memory: 30000, PendingPrompt: 4000, PrefillRate: test.rate}
+			qt.Assert(t, place.Fits(place.Need{Tokens: 9000, Timing: test.timing}, c, 1), qt.Equals, test.want)
+			c.PendingPrompt = 0
+			qt.Assert(t, place.Fits(place.Need{Tokens: 9000, Timing: test.timing}, c, 1), qt.IsTrue)
+		})
+	}
+}
+
+// TestAssumeMedian fails if an engine without samples is judged by another scale than the
+// others, or if a speed is assumed that no engine has shown.
+func TestAssumeMedian(t *testing.T) {
+	list := candidates(4)
+	place.AssumeMedian(list)
+	qt.Assert(t, list, qt.DeepEquals, candidates(4))
+	list[0].PrefillRate, list[1].PrefillRate, list[2].PrefillRate, list[1].SlowFactor = 3000, 9000, 5000, 1.5
+	place.AssumeMedian(list)
+	qt.Assert(t, list[3].PrefillRate, qt.Equals, 5000.0)
+	qt.Assert(t, list[3].SlowFactor, qt.Equals, 1.5)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -138,6 +138,7 @@
 	routes   map[string]map[string]*Route // by host, then by prefix
 	services map[string]*Service
 	keys     map[keyHash]*Workspace
+	urgent   map[string]Urgent // by service
 }
 
 // New returns the table that cfg describes.
@@ -148,6 +149,7 @@
 		routes:   map[string]map[string]*Route{},
 		services: map[string]*Service{},
 		keys:     map[keyHash]*Workspace{},
+		urgent:   urgentByService(cfg.Routes),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
