Count the growth of generations that outlive their expected output

Their KV cache counted with its expected size until their end, so that engines full of them looked as if they had room. The usage now grows with the output, in steps of 64 tokens, for routes with an objective.

go test ./entry passes for the new test and those of evacuation.

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -29,6 +29,7 @@
 	events            int           // received from this engine
 	gapsFrom          time.Time     // arrival of the event from which the next sample of gaps counts
 	gapEvents         int           // since then
+	grown             int           // KV cache in the usage beyond the expected one of the generation, tokens
 	eventsBefore      int           // sent to the caller before this segment
 	expectedEvents    int           // of the whole generation
 	movedTo           *destination  // where the generation continues when this segment ends; nil while that is not decided
@@ -80,6 +81,10 @@
 	defer s.mu.Unlock()
 	g.current = nil
 	seg.ended = true
+	if seg.grown > 0 {
+		s.usage.add(time.Now(), seg.endpoint.ID, usage{tokens: -seg.grown})
+		seg.grown = 0
+	}
 }
 
 // recordEvent counts an event from the engine. The first one shows that the
@@ -95,6 +100,7 @@
 		seg.firstEventAt = now
 	}
 	seg.events++
+	g.grow(now, seg)
 	if g.promptPending {
 		g.promptPending = false
 		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -15,6 +15,7 @@
 const (
 	gapSampleTime    = 50 * time.Millisecond  // shortest time of a sample of gaps; events that arrive in one read have no gap between them
 	baselineInterval = 250 * time.Millisecond // between two computations of a service's medians
+	growthStep       = 64                     // tokens; about half a second of a generation
 	urgentShare      = 2                      // a less urgent prompt may take this part of the most urgent routes' objective
 	minIdleSlow      = 125                    // hundredths; an engine on which this node runs nothing is reported only if it is this slow, to save bytes
 )
@@ -80,6 +81,24 @@
 	}
 }
 
+// grow adds to the usage what the generation holds beyond its expected KV cache. Load
+// pattern: generations that outlive their expected output would fill an engine that looks
+// half empty, until it preempts some. The mutex is held.
+func (g *generation) grow(now time.Time, seg *segment) {
+	if !g.routed.isTimed() {
+		return
+	}
+	produced := (seg.eventsBefore + seg.events) * max(g.routed.service.Engine.TokensPerEvent, 1)
+	beyond := g.routed.req.PromptTokens + produced - g.tokens
+	if beyond <= seg.grown {
+		return
+	}
+	// In steps, as each change of the usage is sent to the load group.
+	grown := (beyond + growthStep - 1) / growthStep * growthStep
+	g.server.usage.add(now, seg.endpoint.ID, usage{tokens: grown - seg.grown})
+	seg.grown = grown
+}
+
 // addSpeed adds what this node measured of an engine to the message for the load group.
 func (t *usageTracker) addSpeed(now time.Time, st *endpointStats, u *wire.Use) {
 	if !st.speed.Known(now) {
--- a/entry/speed_test.go
+++ b/entry/speed_test.go
@@ -87,3 +87,22 @@
 	kept, _ = preferSteady(need, endpoints[:1], gaps[:1])
 	qt.Assert(t, kept, qt.HasLen, 1)
 }
+
+// TestLongGenerationGrows fails if a generation that outlives its expected output counts with
+// its expected size only, or if its growth stays in the usage after its end.
+func TestLongGenerationGrows(t *testing.T) {
+	s := &Server{usage: newUsageTracker()}
+	g, seg := generationOn(s, time.Unix(1e9, 0), 0), &segment{endpoint: fleet.Endpoint{ID: "a"}}
+	g.tokens = 1100 // the prompt and 25 events
+	tokensAfter := func(events int) int {
+		seg.events = events
+		g.grow(time.Unix(1e9, 0), seg)
+		return s.usage.stats("a").tokens
+	}
+	qt.Assert(t, tokensAfter(25), qt.Equals, 0)
+	qt.Assert(t, tokensAfter(26), qt.Equals, growthStep)
+	qt.Assert(t, tokensAfter(25+growthStep/4), qt.Equals, growthStep)
+	qt.Assert(t, tokensAfter(100), qt.Equals, 320)
+	g.endSegment(seg)
+	qt.Assert(t, s.usage.stats("a").tokens, qt.Equals, 0)
+}
