--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	CallerTimeout        time.Duration // how long the caller waits for the response; zero if not stated
 	PromptTokens         int           // of a generation
 	PromptParts          []string      // of a generation: ids of the parts of its prompt, in order
+	PartTokens           []int         // tokens of each of the PromptParts; 0 if not stated
 	MaxOutputTokens      int           // of a generation
 	ExpectedOutputTokens int           // output tokens that the caller expects; zero if not stated
 	LastEventID          string        // id of the last event that the caller has received
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -103,7 +103,7 @@
 	g.grow(now, seg)
 	if g.promptPending {
 		g.promptPending = false
-		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
+		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.prompt})
 	}
 }
 
--- a/entry/room.go
+++ b/entry/room.go
@@ -33,13 +33,18 @@
 		use:     g.usageOnEngine(),
 		timed:   rr.isTimed(),
 	}
+	if sel.timed {
+		g.prefixes = promptPrefixes(rr.req)
+		sel.prefixes = g.prefixes
+	}
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
 	for {
 		sel.need.Timing = g.timing(time.Now(), s.view().Table())
 		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
-			g.placedAt, g.pendingAtPlacement = time.Now(), c.PendingPrompt+sel.use.prompt
+			g.prompt = sel.use.withoutCached(c).prompt
+			g.placedAt, g.pendingAtPlacement = time.Now(), c.PendingPrompt+g.prompt
 			s.recordPlacement(rr, e, c, place.FirstEvent(sel.need, c))
 			return e, true
 		}
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -68,6 +68,7 @@
 	case seg.events == 0:
 		if g.promptPending {
 			st.speed = st.speed.WithPrefill(now, t.baseline(now, service.Name), now.Sub(g.placedAt), g.pendingAtPlacement)
+			st.addPrefixes(now, g.prefixes)
 		}
 		seg.gapsFrom, seg.gapEvents = now, 0
 	default:
@@ -147,16 +148,19 @@
 
 // addSpeeds sets the speeds of the engines. Those that nobody has measured count as the
 // median of the others.
-func (t *usageTracker) addSpeeds(now time.Time, view *fleet.View, svc *table.Service, candidates []place.Candidate) {
+func (t *usageTracker) addSpeeds(now time.Time, view *fleet.View, sel selection, candidates []place.Candidate) {
 	for i := range candidates {
 		c := &candidates[i]
 		c.SlowFactor, c.PrefillRate = t.speedOf(now, c.ID, view.RemoteUsage(c.ID))
+		if st, ok := t.endpoints[c.ID]; ok {
+			c.CachedPrompt = st.cachedPrompt(now, sel.prefixes)
+		}
 	}
 	place.AssumeMedian(candidates)
-	b := t.baseline(now, svc.Name)
+	b := t.baseline(now, sel.service.Name)
 	for i := range candidates {
 		c := &candidates[i]
-		event := b.TokenTime(c.Requests+1) * time.Duration(max(svc.Engine.TokensPerEvent, 1))
+		event := b.TokenTime(c.Requests+1) * time.Duration(max(sel.service.Engine.TokensPerEvent, 1))
 		c.Gap = time.Duration(float64(event) * c.SlowFactor)
 	}
 }
--- a/entry/speed_test.go
+++ b/entry/speed_test.go
@@ -106,3 +106,25 @@
 	g.endSegment(seg)
 	qt.Assert(t, s.usage.stats("a").tokens, qt.Equals, 0)
 }
+
+// TestCachedPartsAreCredited fails if an engine that has just run the first parts of a prompt
+// counts as if it had to prefill them again, or is credited with parts of another prompt.
+func TestCachedPartsAreCredited(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	prefixes := func(tokens []int, parts ...string) []promptPrefix {
+		return promptPrefixes(&Request{PromptTokens: 1000, PromptParts: parts, PartTokens: tokens})
+	}
+	var st endpointStats
+	sizes := []int{300, 400, 500}
+	st.addPrefixes(now, prefixes(sizes, "a", "b", "c"))
+	qt.Assert(t, st.cachedPrompt(now, prefixes(sizes, "a", "b", "d")), qt.Equals, 700)
+	qt.Assert(t, st.cachedPrompt(now, prefixes(sizes, "a", "b", "c")), qt.Equals, 1000)
+	qt.Assert(t, st.cachedPrompt(now, prefixes(sizes, "b", "a", "c")), qt.Equals, 0)
+	qt.Assert(t, st.cachedPrompt(now, prefixes(nil, "a", "b")), qt.Equals, 0)
+	qt.Assert(t, st.cachedPrompt(now.Add(prefixTTL), prefixes(sizes, "a")), qt.Equals, 0)
+	for i := range 2 * maxPrefixes {
+		st.addPrefixes(now, []promptPrefix{{hash: uint64(i)}})
+	}
+	qt.Assert(t, len(st.prefixes) <= maxPrefixes, qt.IsTrue)
+	qt.Assert(t, usage{prompt: 1000}.withoutCached(place.Candidate{CachedPrompt: 700}), qt.Equals, usage{prompt: 300})
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -37,6 +37,8 @@
 	tokens        int            // KV cache that the generation is expected to need, in tokens
 	headerSent    bool           // the status and header were sent to the caller
 	promptPending bool           // the usage tracker counts the prompt as pending
+	prefixes      []promptPrefix // of its prompt, if the route is timed
+	prompt        int            // tokens that the usage tracker counts while the prompt is pending
 	placedAt      time.Time      // when an engine was last chosen that has to prefill the prompt
 	// pendingAtPlacement is the pending prompt of that engine then, this generation's included.
 	pendingAtPlacement int
@@ -195,7 +197,7 @@
 	defer s.mu.Unlock()
 	u := usage{requests: -1, tokens: -g.tokens}
 	if g.promptPending {
-		u.prompt = -g.routed.req.PromptTokens
+		u.prompt = -g.prompt
 		g.promptPending = false
 	}
 	s.usage.add(time.Now(), id, u)
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -51,8 +51,9 @@
 	restUntil       time.Time // until then the endpoint wants no requests from this node
 	brittle         brittleness
 	speed           speed.Estimate
-	service         string        // of the engine that speed describes
-	limiter         *rate.Limiter // keeps this node's share of the endpoint's rate limit; nil if it has had none
+	prefixes        map[uint64]time.Time // when the endpoint last prefilled a prompt that began with these parts, by their hash
+	service         string               // of the engine that speed describes
+	limiter         *rate.Limiter        // keeps this node's share of the endpoint's rate limit; nil if it has had none
 }
 
 // toWire returns the message that tells other nodes of the usage and outcomes.
@@ -255,14 +256,15 @@
 
 // selection describes the endpoint that a request needs.
 type selection struct {
-	service *table.Service
-	centre  string // data centre that is preferred
-	need    place.Need
-	maxFill float64  // fraction of an engine's memory within which the request must fit; 0 if it need not fit
-	version *string  // that the endpoint must run; nil for any
-	avoid   []string // ids of endpoints that are not chosen
-	use     usage    // added to the usage of the endpoint that is chosen
-	timed   bool     // the choice considers the speeds of engines
+	service  *table.Service
+	centre   string // data centre that is preferred
+	need     place.Need
+	maxFill  float64        // fraction of an engine's memory within which the request must fit; 0 if it need not fit
+	version  *string        // that the endpoint must run; nil for any
+	avoid    []string       // ids of endpoints that are not chosen
+	use      usage          // added to the usage of the endpoint that is chosen
+	prefixes []promptPrefix // of the prompt
+	timed    bool           // the choice considers the speeds of engines
 }
 
 // reserveEndpoint chooses a usable endpoint, adds the request to its usage and counts it
@@ -281,7 +283,7 @@
 	if sel.use.requests > 0 {
 		s.usage.takeCall(now, view, endpoints[i].ID)
 	}
-	s.usage.add(now, endpoints[i].ID, sel.use)
+	s.usage.add(now, endpoints[i].ID, sel.use.withoutCached(candidates[i]))
 	return endpoints[i], candidates[i], true
 }
 
@@ -296,7 +298,7 @@
 		all[i] = s.candidate(now, view, sel.service, e, sel.centre)
 	}
 	if sel.timed {
-		s.usage.addSpeeds(now, view, sel.service, all)
+		s.usage.addSpeeds(now, view, sel, all)
 	}
 	for i, e := range usable {
 		c := all[i]
--- a/place/place.go
+++ b/place/place.go
@@ -47,6 +47,7 @@
 	PendingPrompt int           // prompt tokens whose prefill is pending
 	FailureRate   float64       // fraction of recent requests that failed, in [0, 1]
 	PrefillRate   float64       // prompt tokens that it prefills in a second; 0 for unknown
+	CachedPrompt  int           // tokens of the request's prompt that it need not prefill
 	SlowFactor    float64       // time between events relative to the service's median engine; 0 for unknown
 	Gap           time.Duration // expected between two events with one more generation; 0 for unknown
 }
--- a/place/timing.go
+++ b/place/timing.go
@@ -20,7 +20,7 @@
 	if c.PrefillRate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(c.PendingPrompt+n.Prompt) / c.PrefillRate * float64(time.Second))
+	return time.Duration(float64(c.PendingPrompt+max(n.Prompt-c.CachedPrompt, 0)) / c.PrefillRate * float64(time.Second))
 }
 
 // fitsTime reports whether c is expected to meet the request's objective for the first event
