--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -54,7 +54,7 @@
 			s := &Server{cfg: Config{Centre: centre}, usage: newUsageTracker(), rand: rand.New(rand.NewPCG(1, 2))}
 			now := time.Now()
 			for b.Loop() {
-				_, candidates := s.fittingCandidates(now, view, selection{service: engineService, centre: centre, need: place.Need{Tokens: 1000}, maxFill: place.MaxFillNew})
+				_, candidates := s.fittingCandidates(now, view, selection{service: engineService, centre: centre, need: place.Need{Tokens: 1000}, maxFill: place.MaxFillNew, timed: true})
 				if _, ok := place.Choose(place.Need{Tokens: 1000}, candidates, 3, s.rand); !ok {
 					b.Fatal("no engine")
 				}
