--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	CallerTimeout        time.Duration // how long the caller waits for the response; zero if not stated
 	PromptTokens         int           // of a generation
 	PromptParts          []string      // of a generation: ids of the parts of its prompt, in order
+	PartTokens           []int         // tokens of each of the PromptParts; 0 if not stated
 	MaxOutputTokens      int           // of a generation
 	ExpectedOutputTokens int           // output tokens that the caller expects; zero if not stated
 	LastEventID          string        // id of the last event that the caller has received
@@ -267,12 +268,12 @@
 }
 
 // recordPlacement records which endpoint a request is sent to, and the load and
-// failures by which it was chosen.
-func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate) {
+// failures by which it was chosen. First is the expected time to the first event, 0 if unknown.
+func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate, first time.Duration) {
 	detail := fmt.Sprintf(
 		"attempt %d on route %s (table version %d), %s until the deadline; the endpoint runs version %s and has %d of %d slots and %d of %d tokens in use, %d prompt tokens waiting, failure rate %.2f",
 		len(rr.tried)+1, rr.route.Name, rr.tableVersion, time.Until(rr.deadline).Round(time.Millisecond), e.Version, c.Requests, c.Slots, c.Tokens, c.Memory, c.PendingPrompt, c.FailureRate)
-	detail += "; " + rr.describeTraits()
+	detail += describeSpeed(c, first) + "; " + rr.describeTraits()
 	s.cfg.Daemon.Record(trace.Entry{Kind: "place", Request: rr.req.ID, Workspace: rr.workspace, Endpoint: c.ID, Routine: true, Detail: detail})
 }
 
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -27,6 +27,9 @@
 	startedAt         time.Time
 	firstEventAt      time.Time     // when the first event from this engine arrived
 	events            int           // received from this engine
+	gapsFrom          time.Time     // arrival of the event from which the next sample of gaps counts
+	gapEvents         int           // since then
+	grown             int           // KV cache in the usage beyond the expected one of the generation, tokens
 	eventsBefore      int           // sent to the caller before this segment
 	expectedEvents    int           // of the whole generation
 	movedTo           *destination  // where the generation continues when this segment ends; nil while that is not decided
@@ -78,21 +81,29 @@
 	defer s.mu.Unlock()
 	g.current = nil
 	seg.ended = true
+	if seg.grown > 0 {
+		s.usage.add(time.Now(), seg.endpoint.ID, usage{tokens: -seg.grown})
+		seg.grown = 0
+	}
 }
 
 // recordEvent counts an event from the engine. The first one shows that the
 // engine has prefilled the prompt.
 func (g *generation) recordEvent(seg *segment) {
-	s := g.server
+	s, now := g.server, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if g.routed.isTimed() {
+		g.measure(now, s.view(), seg)
+	}
 	if seg.events == 0 {
-		seg.firstEventAt = time.Now()
+		seg.firstEventAt = now
 	}
 	seg.events++
+	g.grow(now, seg)
 	if g.promptPending {
 		g.promptPending = false
-		s.usage.add(time.Now(), seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
+		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.prompt})
 	}
 }
 
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -9,6 +9,7 @@
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/place"
+	"github.com/plantaindeck/plantaindeck/speed"
 	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/wire"
 	"golang.org/x/time/rate"
@@ -33,8 +34,9 @@
 // of its recent requests there.
 type usageTracker struct {
 	endpoints  map[string]*endpointStats
-	changed    bool      // since the last report
-	reportedAt time.Time // when the kernel was last given a report
+	baselines  map[string]serviceBaseline // of the engines' speeds, by service
+	changed    bool                       // since the last report
+	reportedAt time.Time                  // when the kernel was last given a report
 }
 
 // endpointStats is what the tracker holds of one endpoint.
@@ -48,7 +50,10 @@
 	backoffUntil    time.Time // until then the endpoint is chosen only if there is no other
 	restUntil       time.Time // until then the endpoint wants no requests from this node
 	brittle         brittleness
-	limiter         *rate.Limiter // keeps this node's share of the endpoint's rate limit; nil if it has had none
+	speed           speed.Estimate
+	prefixes        map[uint64]time.Time // when the endpoint last prefilled a prompt that began with these parts, by their hash
+	service         string               // of the engine that speed describes
+	limiter         *rate.Limiter        // keeps this node's share of the endpoint's rate limit; nil if it has had none
 }
 
 // toWire returns the message that tells other nodes of the usage and outcomes.
@@ -74,7 +79,7 @@
 }
 
 func newUsageTracker() *usageTracker {
-	return &usageTracker{endpoints: map[string]*endpointStats{}}
+	return &usageTracker{endpoints: map[string]*endpointStats{}, baselines: map[string]serviceBaseline{}}
 }
 
 // stats returns the stats of an endpoint and creates them if there are none.
@@ -238,9 +243,11 @@
 	}
 	for id, st := range s.usage.endpoints {
 		st.decay(now)
-		if u := st.toWire(now, id); st.requests > 0 || st.tokens > 0 || u.Bad > 0 || u.Brittle {
+		u := st.toWire(now, id)
+		s.usage.addSpeed(now, st, u)
+		if st.requests > 0 || st.tokens > 0 || u.Bad > 0 || u.Brittle || u.Slow >= minIdleSlow {
 			report.Uses = append(report.Uses, u)
-		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) {
+		} else if st.successes < negligibleSuccesses && now.Sub(st.backoffUntil) > idleStatsTTL && now.After(st.restUntil) && st.hasFullBurst(now) && !st.speed.Known(now) {
 			delete(s.usage.endpoints, id)
 		}
 	}
@@ -249,13 +256,15 @@
 
 // selection describes the endpoint that a request needs.
 type selection struct {
-	service *table.Service
-	centre  string // data centre that is preferred
-	need    place.Need
-	maxFill float64  // fraction of an engine's memory within which the request must fit; 0 if it need not fit
-	version *string  // that the endpoint must run; nil for any
-	avoid   []string // ids of endpoints that are not chosen
-	use     usage    // added to the usage of the endpoint that is chosen
+	service  *table.Service
+	centre   string // data centre that is preferred
+	need     place.Need
+	maxFill  float64        // fraction of an engine's memory within which the request must fit; 0 if it need not fit
+	version  *string        // that the endpoint must run; nil for any
+	avoid    []string       // ids of endpoints that are not chosen
+	use      usage          // added to the usage of the endpoint that is chosen
+	prefixes []promptPrefix // of the prompt
+	timed    bool           // the choice considers the speeds of engines
 }
 
 // reserveEndpoint chooses a usable endpoint, adds the request to its usage and counts it
@@ -274,7 +283,7 @@
 	if sel.use.requests > 0 {
 		s.usage.takeCall(now, view, endpoints[i].ID)
 	}
-	s.usage.add(now, endpoints[i].ID, sel.use)
+	s.usage.add(now, endpoints[i].ID, sel.use.withoutCached(candidates[i]))
 	return endpoints[i], candidates[i], true
 }
 
@@ -283,8 +292,16 @@
 func (s *Server) fittingCandidates(now time.Time, view *fleet.View, sel selection) ([]fleet.Endpoint, []place.Candidate) {
 	var endpoints []fleet.Endpoint
 	var candidates []place.Candidate
-	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid) {
-		c := s.candidate(now, view, sel.service, e, sel.centre)
+	usable := s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid)
+	all := make([]place.Candidate, len(usable))
+	for i, e := range usable {
+		all[i] = s.candidate(now, view, sel.service, e, sel.centre)
+	}
+	if sel.timed {
+		s.usage.addSpeeds(now, view, sel, all)
+	}
+	for i, e := range usable {
+		c := all[i]
 		maxFill := sel.maxFill
 		if s.usage.isBrittle(now, view, e.ID) {
 			maxFill = min(maxFill, place.MaxFillNew)
@@ -294,7 +311,7 @@
 			candidates = append(candidates, c)
 		}
 	}
-	return endpoints, candidates
+	return preferSteady(sel.need, endpoints, candidates)
 }
 
 // consideredEndpoints returns the endpoints that a choice considers: all those
