Ask nodes of other load groups to place generations

Nodes learn the load of endpoints outside their load group seconds late and chose them blindly. A generation that finds no room in its own group is now placed by a node of another group, which holds its usage until the asker says that it has ended.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,6 +63,11 @@
 	// OnQuarantine is called when requests with all of the given traits are quarantined. It
 	// may be nil.
 	OnQuarantine func(traits []uint64)
+	// OnPlacement is called with the messages Place, Placed and Done of other nodes, which do
+	// not pass through the kernel: the reply must be exact, so that the usage tracker of the
+	// entry package chooses and reserves in one step. It must not block, may be called by
+	// several goroutines, and may be nil.
+	OnPlacement func(from string, f *wire.Frame)
 	// OnSaveQuarantine is called with the quarantines to write to the platform's store. It must
 	// not block, and may be nil.
 	OnSaveQuarantine func(q kernel.SaveQuarantine)
@@ -121,6 +126,12 @@
 		Metrics: cfg.Metrics,
 		OnFrame: func(from string, f *wire.Frame) {
 			cfg.Trace.Observe(f.GetLogical())
+			if isPlacement(f) {
+				if cfg.OnPlacement != nil {
+					cfg.OnPlacement(from, f)
+				}
+				return
+			}
 			d.post(ctx, kernel.FrameReceived{From: from, Frame: f})
 		},
 		OnPeerLost: func(id string) { d.post(ctx, kernel.PeerLost{Peer: id}) },
@@ -273,6 +284,21 @@
 	d.peers.Send(s.To, f)
 }
 
+// isPlacement reports whether a frame holds a message about placement in another load group.
+func isPlacement(f *wire.Frame) bool {
+	switch f.GetBody().(type) {
+	case *wire.Frame_Place, *wire.Frame_Placed, *wire.Frame_Done:
+		return true
+	}
+	return false
+}
+
+// SendTo sends a message to another node. It does not block, and drops the message if it cannot
+// be delivered.
+func (d *Daemon) SendTo(node string, f *wire.Frame) {
+	d.send(time.Now(), kernel.Send{To: node, Frame: f})
+}
+
 // resolve passes the kernel's decision to the WaitForGrant call that waits for it, if
 // one still does.
 func (d *Daemon) resolve(requestID string, v decision) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,6 +175,7 @@
 	metrics         *serverMetrics
 	retryLimiters   map[string]*retry.Limiter                  // by service
 	generations     map[*generation]bool                       // those in flight
+	placements      *placements                                // in and for other load groups
 	crashChecks     map[string]*crashCheck                     // those that run, by endpoint
 	withoutOutput   map[*routedRequest]context.CancelCauseFunc // requests in flight that have had no output; the function ends the request
 	tasks           sync.WaitGroup                             // probes and evacuations in the background
@@ -194,6 +195,7 @@
 		bodies:        newBodyMemory(cfg.BodyMemory),
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
+		placements:    newPlacements(),
 		crashChecks:   map[string]*crashCheck{},
 		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 	}
@@ -213,6 +215,7 @@
 			case <-ctx.Done():
 			case now := <-t.C:
 				s.probeEngines(ctx, now)
+				s.expirePlacements(now)
 				if event, changed := s.usageReport(now); changed {
 					s.cfg.Daemon.Post(ctx, event)
 				}
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -92,7 +92,7 @@
 	seg.events++
 	if g.promptPending {
 		g.promptPending = false
-		s.usage.add(time.Now(), seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
+		g.changeUsage(time.Now(), seg.endpoint.ID, usage{prompt: -g.routed.req.PromptTokens})
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,9 @@
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
+	for _, o := range askOutcomes {
+		set.GetOrCreateCounter(askedMetric(o))
+	}
 	return &serverMetrics{
 		set:           set,
 		retries:       set.GetOrCreateCounter("plantaindeck_repeats_total"),
--- a/entry/room.go
+++ b/entry/room.go
@@ -32,6 +32,7 @@
 		avoid:   rr.tried,
 		use:     g.usageOnEngine(),
 	}
+	sel = s.withinGroup(sel)
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
@@ -40,6 +41,10 @@
 			s.recordPlacement(rr, e, c)
 			return e, true
 		}
+		if e, p, ok := s.askPlacement(g.ctx, rr, sel); ok {
+			g.placement = p
+			return e, true
+		}
 		if g.version != nil && !serves(s.view(), rr.service.Name, *g.version) {
 			g.lastErr = errors.Errorf("no engine runs version %s, which began the stream", *g.version)
 			return fleet.Endpoint{}, false
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -36,6 +36,7 @@
 	events        int            // sent to the caller
 	tokens        int            // KV cache that the generation is expected to need, in tokens
 	headerSent    bool           // the status and header were sent to the caller
+	placement     *placement     // at the endpoint, if another node chose it; nil otherwise
 	promptPending bool           // the usage tracker counts the prompt as pending
 	header        http.Header    // for the caller, from the first endpoint's response
 	attempts      int
@@ -143,6 +144,9 @@
 // has gone.
 func (g *generation) attempt() bool {
 	s, rr := g.server, g.routed
+	if g.endStalePlacement(time.Now()) {
+		return false
+	}
 	rr.tried = append(rr.tried, g.endpoint.ID)
 	defer g.removeUsage(g.endpoint.ID)
 	g.reserveBackup()
@@ -195,7 +199,7 @@
 		u.prompt = -g.routed.req.PromptTokens
 		g.promptPending = false
 	}
-	s.usage.add(time.Now(), id, u)
+	g.changeUsage(time.Now(), id, u)
 }
 
 // handleFailure records an attempt that was refused, could not be sent or got no
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -256,6 +256,10 @@
 	version *string  // that the endpoint must run; nil for any
 	avoid   []string // ids of endpoints that are not chosen
 	use     usage    // added to the usage of the endpoint that is chosen
+	// groupOnly restricts the choice to endpoints of the load group and those that no group
+	// covers according to covering, if that is not nil.
+	groupOnly bool
+	covering  *fleet.Covering
 }
 
 // reserveEndpoint chooses a usable endpoint, adds the request to its usage and counts it
@@ -284,6 +288,9 @@
 	var endpoints []fleet.Endpoint
 	var candidates []place.Candidate
 	for _, e := range s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid) {
+		if !sel.allows(view, e) {
+			continue
+		}
 		c := s.candidate(now, view, sel.service, e, sel.centre)
 		maxFill := sel.maxFill
 		if s.usage.isBrittle(now, view, e.ID) {
