--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,7 +195,7 @@
 		bodies:        newBodyMemory(cfg.BodyMemory),
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
-		placements:    newPlacements(),
+		placements:    newPlacements(cfg.Daemon.SendTo),
 		crashChecks:   map[string]*crashCheck{},
 		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 	}
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -11,6 +11,7 @@
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/lease"
 	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/owner"
 	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/wire"
@@ -20,6 +21,14 @@
 // stays small.
 const maxAskedAvoid = 32
 
+// usageDelay is the time after which the nodes of a load group know of each other's placements: a
+// report and the interval of changes in a large deployment.
+const usageDelay = 250 * time.Millisecond
+
+// minRestartIncrease is the least increase of a node's incarnation at a restart. An incarnation is
+// the start of the process in microseconds, and a node that refutes a suspicion raises its own by 1.
+const minRestartIncrease = 10_000
+
 // askOutcome is how an attempt to place a request in another load group ended.
 type askOutcome string
 
@@ -42,8 +51,9 @@
 
 // placements are the placements between this node and those of other load groups.
 type placements struct {
-	heldMu sync.Mutex   // guards held; taken before the server's mutex
-	held   *lease.Table // for other nodes
+	send   func(node string, f *wire.Frame) // to another node; may lose messages
+	heldMu sync.Mutex                       // guards held; taken before the server's mutex
+	held   *lease.Table                     // for other nodes
 
 	// Guarded by the server's mutex.
 	asker *lease.Asker
@@ -68,8 +78,8 @@
 	answeredAt  time.Time
 }
 
-func newPlacements() *placements {
-	return &placements{held: lease.NewTable(), asker: lease.NewAsker(), asks: map[string]pendingAsk{}, own: map[string]*placement{}}
+func newPlacements(send func(node string, f *wire.Frame)) *placements {
+	return &placements{send: send, held: lease.NewTable(), asker: lease.NewAsker(), asks: map[string]pendingAsk{}, own: map[string]*placement{}}
 }
 
 // allows reports whether groupOnly allows the choice of an endpoint.
@@ -101,6 +111,10 @@
 	for len(asked) < lease.MaxTries && ctx.Err() == nil {
 		now, view := time.Now(), s.view()
 		s.mu.Lock()
+		if s.placements.asker.Useless(now, kind) {
+			s.mu.Unlock()
+			break
+		}
 		sel.avoid = s.usage.avoidWhenAsking(now, view, sel)
 		group, node, ok := s.placements.asker.Choose(now, kind, askableGroups(view, sel), asked, s.rand)
 		s.mu.Unlock()
@@ -111,7 +125,7 @@
 		p, answer := s.ask(ctx, node, rr.placeMessage(now, s.cfg.Daemon.NewRequestID(), sel))
 		now = time.Now()
 		if answer == nil && ctx.Err() != nil {
-			break
+			return fleet.Endpoint{}, nil, false
 		}
 		s.mu.Lock()
 		if answer == nil {
@@ -201,7 +215,7 @@
 	s.mu.Lock()
 	s.placements.asks[id] = a
 	s.mu.Unlock()
-	s.cfg.Daemon.SendTo(node, &wire.Frame{Body: &wire.Frame_Place{Place: msg}})
+	s.placements.send(node, &wire.Frame{Body: &wire.Frame_Place{Place: msg}})
 	timer := time.NewTimer(lease.AnswerTimeout)
 	defer timer.Stop()
 	select {
@@ -292,7 +306,7 @@
 	switch body := f.GetBody().(type) {
 	case *wire.Frame_Place:
 		placed := s.placeFor(now, fleet.Of(state), member.Of(state), from, body.Place)
-		s.cfg.Daemon.SendTo(from, &wire.Frame{Body: &wire.Frame_Placed{Placed: placed}})
+		s.placements.send(from, &wire.Frame{Body: &wire.Frame_Placed{Placed: placed}})
 	case *wire.Frame_Placed:
 		if s.isUnwanted(from, body.Placed) {
 			s.sendDone(from, body.Placed.GetRequest(), false)
@@ -338,6 +352,7 @@
 		return placed
 	}
 	sel := selectionFor(svc, s.cfg.Centre, msg)
+	sel.avoid = append(slices.Clone(sel.avoid), s.takenShares(now, view, m.Self().GetId(), sel)...)
 	e, _, ok := s.reserveEndpoint(now, view, sel)
 	if !ok {
 		placed.Wait = uint32(s.groupRest(now, view, sel).Milliseconds())
@@ -348,6 +363,7 @@
 		Incarnation: asker.Member.GetIncarnation(),
 		Endpoint:    e.ID,
 		Use:         lease.Use{Tokens: sel.use.tokens, Prompt: sel.use.prompt},
+		PlacedAt:    now,
 		Deadline:    now.Add(time.Duration(msg.GetLeft()) * time.Millisecond),
 	})
 	placed.Endpoint = e.ID
@@ -372,6 +388,38 @@
 	}
 }
 
+// takenShares returns the endpoints at which this node has no share of the free places left. Load
+// pattern: nodes of many groups ask all nodes of this one at the same moment, and each of these
+// sees the same free places, above all those of an engine that has just started. So the nodes of
+// the group divide the free places until they know of each other's placements. The mutex of the
+// held leases is held.
+func (s *Server) takenShares(now time.Time, view *fleet.View, self string, sel selection) []string {
+	recent := s.placements.held.Recent(now.Add(-usageDelay))
+	nodes := view.LoadGroup().Nodes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var taken []string
+	for _, e := range view.Endpoints(sel.service.Name) {
+		if e.Leaving || !view.LoadGroup().Covers(e) {
+			continue
+		}
+		c, r := s.candidate(now, view, sel.service, e, sel.centre), recent[e.ID]
+		free, used := c.Slots-(c.Requests-r.Requests), r.Requests
+		if need := sel.need.Tokens; need > 0 && c.Memory > 0 {
+			free = min(free, (int(sel.maxFill*float64(c.Memory))-(c.Tokens-r.Tokens))/need)
+			used = max(used, (r.Tokens+need-1)/need)
+		}
+		share := max(free, 0) / max(len(nodes), 1)
+		if owner.InTopN(e.ID, self, max(free, 0)%max(len(nodes), 1), nodes) {
+			share++
+		}
+		if used >= share {
+			taken = append(taken, e.ID)
+		}
+	}
+	return taken
+}
+
 // groupRest returns the time until the first endpoint of the load group takes requests again, or
 // 0 if one takes them now or there is none.
 func (s *Server) groupRest(now time.Time, view *fleet.View, sel selection) time.Duration {
@@ -422,6 +470,7 @@
 func (s *Server) expirePlacements(now time.Time) {
 	m := member.Of(s.cfg.Daemon.State())
 	for _, p := range s.expireHeld(now, m) {
+		s.sendDone(p.holder, p.id, false) // it may be alive, and cut off from this node only
 		s.metrics.recordAsked(askHolderLost)
 		s.recordEndpoint("asked", p.endpoint, fmt.Sprintf("node %s was lost, which held placement %s; this node counts the request", p.holder, p.id))
 	}
@@ -452,12 +501,12 @@
 // incarnation, which is 0 if it was unknown.
 func isSameRun(m *member.View, id string, incarnation uint64) bool {
 	p, known := m.Get(id)
-	return known && m.Usable(id) && (incarnation == 0 || p.Member.GetIncarnation() == incarnation)
+	return known && m.Usable(id) && (incarnation == 0 || p.Member.GetIncarnation() < incarnation+minRestartIncrease)
 }
 
 // sendDone tells a holder that a request of this node has had its first event or has ended.
 func (s *Server) sendDone(node, id string, first bool) {
-	s.cfg.Daemon.SendTo(node, &wire.Frame{Body: &wire.Frame_Done{Done: &wire.Done{Request: id, First: first}}})
+	s.placements.send(node, &wire.Frame{Body: &wire.Frame_Done{Done: &wire.Done{Request: id, First: first}}})
 }
 
 // changeUsage changes the usage of the generation on an engine: at the holder of the placement
@@ -472,11 +521,11 @@
 	if ends {
 		g.placement = nil
 	}
-	if s.placements.own[p.id] != p {
+	if s.placements.own[p.id] == p {
+		p.use.prompt += u.prompt
+	} else {
 		s.usage.add(now, id, u) // the holder was lost
-		return
 	}
-	p.use.prompt += u.prompt
 	if ends {
 		delete(s.placements.own, p.id)
 	}
--- /dev/null
+++ b/entry/placement_test.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/lease"
+	"github.com/plantaindeck/plantaindeck/member"
+	"github.com/plantaindeck/plantaindeck/place"
+	"github.com/plantaindeck/plantaindeck/simnet"
+	"github.com/plantaindeck/plantaindeck/wire"
+)
+
+// placementNetwork is a simulated network with a server on each node. Nodes report their usage
+// as Server.Run does.
+type placementNetwork struct {
+	*simnet.Network
+	servers []*Server
+}
+
+func newPlacementNetwork(t *testing.T, nodes, engines int) *placementNetwork {
+	n := &placementNetwork{Network: startNetwork(t, nodes, engines)}
+	for i := range nodes {
+		r := rand.New(rand.NewPCG(uint64(i), 2))
+		n.servers = append(n.servers, &Server{cfg: Config{Centre: n.member(i).Self().GetCentre()}, usage: newUsageTracker(), placements: newPlacements(func(node string, f *wire.Frame) { n.sendDone(i, node, f.GetDone()) }), rand: r})
+	}
+	return n
+}
+
+func (n *placementNetwork) view(node int) *fleet.View    { return fleet.Of(n.State(node)) }
+func (n *placementNetwork) member(node int) *member.View { return member.Of(n.State(node)) }
+
+// sendDone delivers a Done.
+func (n *placementNetwork) sendDone(from int, to string, done *wire.Done) {
+	for i, s := range n.servers {
+		if simnet.ID(i) == to && n.Up(i) {
+			s.endHeld(n.Now(), simnet.ID(from), done)
+		}
+	}
+}
+
+// run lets the nodes learn of each other's usage for a time.
+func (n *placementNetwork) run(d time.Duration) {
+	for end := n.Now().Add(d); n.Now().Before(end); n.Run(reportInterval) {
+		for i, s := range n.servers {
+			if !n.Up(i) {
+				continue
+			}
+			s.expireHeld(n.Now(), n.member(i))
+			if report, due := s.usageReport(n.Now()); due {
+				n.Step(i, report)
+			}
+		}
+	}
+}
+
+// place asks a node on behalf of another one.
+func (n *placementNetwork) place(from, holder int, id string, tokens uint32) *wire.Placed {
+	msg := &wire.Place{Request: id, Service: "model", Tokens: tokens, Prompt: 100, Priority: 2, Left: 20_000}
+	return n.servers[holder].placeFor(n.Now(), n.view(holder), n.member(holder), simnet.ID(from), msg)
+}
+
+// usageAt returns what the servers count on an endpoint, all together.
+func (n *placementNetwork) usageAt(id string) usage {
+	var sum usage
+	for i, s := range n.servers {
+		if st, ok := s.usage.endpoints[id]; ok && n.Up(i) {
+			sum.requests, sum.tokens, sum.prompt = sum.requests+st.requests, sum.tokens+st.tokens, sum.prompt+st.prompt
+		}
+	}
+	return sum
+}
+
+// TestHerdOfAskers guards against more requests on an engine that has just started than it has
+// places, when nodes of all groups ask for it at once.
+func TestHerdOfAskers(t *testing.T) {
+	for _, tokens := range []uint32{100, 4000} {
+		t.Run(fmt.Sprint(tokens, " tokens"), func(t *testing.T) {
+			n := newPlacementNetwork(t, 33, 3)
+			engine := n.view(1).Endpoints("model")[1]
+			places := min(24, int(place.MaxFillNew*34000)/int(tokens))
+			r := rand.New(rand.NewPCG(3, 4))
+			for step := range 50 {
+				for from := range 33 {
+					if from%3 == 1 {
+						continue // of the engine's data centre
+					}
+					n.place(from, 1+3*r.IntN(11), fmt.Sprint(step, "-", from), tokens)
+				}
+				n.run(reportInterval)
+				placed := n.usageAt(engine.ID).requests
+				qt.Assert(t, placed <= places, qt.IsTrue, qt.Commentf("%d requests at step %d", placed, step))
+			}
+			qt.Assert(t, n.usageAt(engine.ID).requests, qt.Equals, places)
+		})
+	}
+}
+
+// TestHeldUsage guards against leases that are lost or kept: the holder counts a request exactly
+// until it ends, its asker dies, or its deadline passes.
+func TestHeldUsage(t *testing.T) {
+	const asker, holder, mate = 0, 1, 4
+	for _, test := range []struct {
+		name string
+		end  func(n *placementNetwork)
+	}{
+		{"done", func(n *placementNetwork) {
+			for range 2 {
+				n.servers[holder].endHeld(n.Now(), simnet.ID(asker), &wire.Done{Request: "r"})
+			}
+		}},
+		{"asker dies", func(n *placementNetwork) { n.Kill(asker); n.run(9 * time.Second) }},
+		{"answer and done are lost", func(n *placementNetwork) { n.run(20 * time.Second) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newPlacementNetwork(t, 33, 3)
+			placed := n.place(asker, holder, "r", 1000)
+			qt.Assert(t, placed.GetEndpoint(), qt.Equals, n.view(0).Endpoints("model")[1].ID)
+			qt.Assert(t, n.place(asker, holder, "r", 1000).GetEndpoint(), qt.Equals, placed.GetEndpoint())
+			n.run(time.Second)
+			qt.Assert(t, n.usageAt(placed.GetEndpoint()), qt.Equals, usage{1, 1000, 100})
+			qt.Assert(t, n.view(mate).RemoteUsage(placed.GetEndpoint()).Requests, qt.Equals, 1)
+			for range 2 {
+				n.servers[holder].endHeld(n.Now(), simnet.ID(asker), &wire.Done{Request: "r", First: true})
+			}
+			qt.Assert(t, n.usageAt(placed.GetEndpoint()), qt.Equals, usage{1, 1000, 0})
+			test.end(n)
+			qt.Assert(t, n.usageAt(placed.GetEndpoint()), qt.Equals, usage{})
+		})
+	}
+}
+
+// TestHolderDies guards against running requests that no node counts.
+func TestHolderDies(t *testing.T) {
+	const asker, holder = 0, 1
+	n := newPlacementNetwork(t, 33, 3)
+	placed := n.place(asker, holder, "r", 1000)
+	p := &placement{id: "r", holder: simnet.ID(holder), endpoint: placed.GetEndpoint(), use: usage{1, 1000, 100}}
+	n.servers[asker].placements.own["r"] = p
+	n.Kill(holder)
+	n.run(9 * time.Second)
+	qt.Assert(t, n.usageAt(placed.GetEndpoint()), qt.Equals, usage{1, 1000, 100})
+	g := &generation{server: n.servers[asker], placement: p}
+	g.changeUsage(n.Now(), p.endpoint, usage{-1, -1000, -100})
+	qt.Assert(t, n.usageAt(placed.GetEndpoint()), qt.Equals, usage{})
+}
+
+// TestGroupsAreAsked guards against blind choices: a node with a full load group chooses no
+// endpoint of another one, and asks nodes of the groups that cover usable ones.
+func TestGroupsAreAsked(t *testing.T) {
+	n := newPlacementNetwork(t, 33, 3)
+	view := n.view(0)
+	sel := selection{service: engineService, maxFill: place.MaxFillNew, use: usage{requests: 1}, groupOnly: true, covering: fleet.CoveringOf(n.member(0))}
+	own := view.Endpoints("model")[0].ID
+	e, _, ok := n.servers[0].reserveEndpoint(n.Now(), view, sel)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, e.ID, qt.Equals, own)
+	sel.avoid = []string{own}
+	_, _, ok = n.servers[0].reserveEndpoint(n.Now(), view, sel)
+	qt.Assert(t, ok, qt.IsFalse)
+	for node := range 33 {
+		inGroups := 0
+		for _, g := range askableGroups(view, sel) {
+			for _, id := range g.Nodes {
+				if id == simnet.ID(node) {
+					inGroups++
+				}
+			}
+		}
+		qt.Assert(t, inGroups, qt.Equals, min(node%3, 1), qt.Commentf("node %d", node))
+	}
+	s := n.servers[0]
+	s.usage.setRest(view.Endpoints("model")[1].ID, n.Now().Add(time.Second))
+	sel.avoid = s.usage.avoidWhenAsking(n.Now(), view, sel)
+	qt.Assert(t, askableGroups(view, sel), qt.HasLen, 1)
+}
+
+// TestLateAnswer guards against leases of answers that no request waits for any more.
+func TestLateAnswer(t *testing.T) {
+	s := &Server{placements: newPlacements(nil)}
+	a := pendingAsk{node: "b", answer: make(chan *wire.Placed, 1)}
+	s.placements.asks["r"] = a
+	placed := &wire.Placed{Request: "r", Endpoint: "e"}
+	qt.Assert(t, s.isUnwanted("b", placed), qt.IsFalse)
+	qt.Assert(t, <-a.answer, qt.Equals, placed)
+	qt.Assert(t, s.isUnwanted("b", placed), qt.IsTrue)
+	qt.Assert(t, s.isUnwanted("b", &wire.Placed{Request: "r"}), qt.IsFalse)
+	s.placements.own["r"] = &placement{id: "r"}
+	qt.Assert(t, s.isUnwanted("b", placed), qt.IsFalse)
+	qt.Assert(t, lease.AnswerTimeout < lease.MaxAge, qt.IsTrue)
+}
--- a/lease/ask.go
+++ b/lease/ask.go
@@ -35,7 +35,7 @@
 	answeredAt  time.Time            // when any node last answered
 }
 
-// fullKey identifies the requests of a kind in a load group.
+// fullKey identifies the requests of a kind in a load group, or in all groups if that is empty.
 type fullKey struct {
 	kind, group string
 }
@@ -66,6 +66,9 @@
 		}
 	}
 	if total == 0 {
+		if len(asked) == 0 {
+			a.setFull(now, fullKey{kind: kind}, minFullTime)
+		}
 		return Group{}, "", false
 	}
 	n := r.IntN(total)
@@ -88,10 +91,21 @@
 	if wait == 0 {
 		wait = defaultFullTime
 	}
+	a.setFull(now, fullKey{kind, group}, min(max(wait, minFullTime), maxFullTime))
+}
+
+// setFull notes that there is no room for a time.
+func (a *Asker) setFull(now time.Time, key fullKey, full time.Duration) {
 	if len(a.fullUntil) >= maxFullKeys {
 		maps.DeleteFunc(a.fullUntil, func(_ fullKey, until time.Time) bool { return !now.Before(until) })
 	}
-	a.fullUntil[fullKey{kind, group}] = now.Add(min(max(wait, minFullTime), maxFullTime))
+	a.fullUntil[key] = now.Add(full)
+}
+
+// Useless reports whether Choose found no node for the kind a moment ago. Hundreds of waiting
+// requests would otherwise compute the groups every few milliseconds.
+func (a *Asker) Useless(now time.Time, kind string) bool {
+	return now.Before(a.fullUntil[fullKey{kind: kind}])
 }
 
 // Silent notes that a node did not answer in time.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -36,6 +36,7 @@
 	Incarnation uint64 // of the asker when it asked
 	Endpoint    string
 	Use         Use
+	PlacedAt    time.Time
 	Deadline    time.Time // that the asker stated
 }
 
@@ -82,6 +83,25 @@
 	return l, true
 }
 
+// Recent is what a holder has placed at an endpoint a moment ago, of which the other nodes of its
+// load group may not know.
+type Recent struct {
+	Requests int
+	Tokens   int
+}
+
+// Recent returns what was placed since a time, by endpoint.
+func (t *Table) Recent(since time.Time) map[string]Recent {
+	list := map[string]Recent{}
+	for _, l := range t.byID {
+		if l.PlacedAt.After(since) {
+			r := list[l.Endpoint]
+			list[l.Endpoint] = Recent{Requests: r.Requests + 1, Tokens: r.Tokens + l.Use.Tokens}
+		}
+	}
+	return list
+}
+
 // Expire ends the leases whose deadline has passed or whose asker is not alive any more with the
 // incarnation in which it asked, and returns them in the order of their ids.
 func (t *Table) Expire(now time.Time, alive func(asker string, incarnation uint64) bool) []Lease {
