--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,6 +43,7 @@
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
+	set.GetOrCreateGauge("plantaindeck_held_placements", func() float64 { return float64(s.heldPlacements()) })
 	for _, o := range askOutcomes {
 		set.GetOrCreateCounter(askedMetric(o))
 	}
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -458,6 +458,13 @@
 	}
 }
 
+// heldPlacements returns the number of requests of other nodes that this node counts.
+func (s *Server) heldPlacements() int {
+	s.placements.heldMu.Lock()
+	defer s.placements.heldMu.Unlock()
+	return s.placements.held.Len()
+}
+
 // freeHeld frees the usage of a lease that has ended.
 func (s *Server) freeHeld(now time.Time, l lease.Lease) {
 	s.mu.Lock()
--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,13 +37,15 @@
 
 // sendDone delivers a Done.
 func (n *placementNetwork) sendDone(from int, to string, done *wire.Done) {
-	for i, s := range n.servers {
-		if simnet.ID(i) == to && n.Up(i) {
-			s.endHeld(n.Now(), simnet.ID(from), done)
-		}
+	if i := n.number(to); n.Up(i) {
+		n.servers[i].endHeld(n.Now(), simnet.ID(from), done)
 	}
 }
 
+func (n *placementNetwork) number(id string) int {
+	return slices.IndexFunc(n.servers, func(s *Server) bool { return simnet.ID(slices.Index(n.servers, s)) == id })
+}
+
 // run lets the nodes learn of each other's usage for a time.
 func (n *placementNetwork) run(d time.Duration) {
 	for end := n.Now().Add(d); n.Now().Before(end); n.Run(reportInterval) {
@@ -75,27 +78,38 @@
 	return sum
 }
 
-// TestHerdOfAskers guards against more requests on an engine that has just started than it has
-// places, when nodes of all groups ask for it at once.
+// TestHerdOfAskers guards against more requests on engines that have just started than they have
+// places, when the nodes of a full data centre ask for those of two others at once, and against
+// places that stay free.
 func TestHerdOfAskers(t *testing.T) {
 	for _, tokens := range []uint32{100, 4000} {
 		t.Run(fmt.Sprint(tokens, " tokens"), func(t *testing.T) {
 			n := newPlacementNetwork(t, 33, 3)
-			engine := n.view(1).Endpoints("model")[1]
+			engines := n.view(0).Endpoints("model")
 			places := min(24, int(place.MaxFillNew*34000)/int(tokens))
 			r := rand.New(rand.NewPCG(3, 4))
-			for step := range 50 {
-				for from := range 33 {
-					if from%3 == 1 {
-						continue // of the engine's data centre
+			sel := selection{service: engineService, covering: fleet.CoveringOf(n.member(0))}
+			groups := askableGroups(n.view(0), sel)
+			for step := range 100 {
+				for i := range 55 {
+					from := 3 * (i % 11)
+					asker := n.servers[from].placements.asker
+					group, node, ok := asker.Choose(n.Now(), "model", groups, nil, r)
+					if !ok {
+						continue
 					}
-					n.place(from, 1+3*r.IntN(11), fmt.Sprint(step, "-", from), tokens)
+					placed := n.place(from, n.number(node), fmt.Sprint(step, "-", i), tokens)
+					asker.Answered(n.Now(), "model", group.Name, node, placed.GetEndpoint() != "", 0)
 				}
 				n.run(reportInterval)
-				placed := n.usageAt(engine.ID).requests
-				qt.Assert(t, placed <= places, qt.IsTrue, qt.Commentf("%d requests at step %d", placed, step))
+				for _, e := range engines[1:] {
+					placed := n.usageAt(e.ID).requests
+					qt.Assert(t, placed <= places, qt.IsTrue, qt.Commentf("%d requests at step %d", placed, step))
+				}
+			}
+			for i, want := range []int{0, places, places} {
+				qt.Assert(t, n.usageAt(engines[i].ID).requests, qt.Equals, want)
 			}
-			qt.Assert(t, n.usageAt(engine.ID).requests, qt.Equals, places)
 		})
 	}
 }
