--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -1,18 +1,24 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/lease"
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/simnet"
+	"github.com/plantaindeck/plantaindeck/table"
+	"github.com/plantaindeck/plantaindeck/trace"
 	"github.com/plantaindeck/plantaindeck/wire"
 )
 
@@ -207,3 +213,73 @@
 	qt.Assert(t, s.isUnwanted("b", placed), qt.IsFalse)
 	qt.Assert(t, lease.AnswerTimeout < lease.MaxAge, qt.IsTrue)
 }
+
+// TestAskPlacement guards against blind choices while other groups answer, against requests that
+// fail when none does, and against leases of answers that are not used.
+func TestAskPlacement(t *testing.T) {
+	n := startNetwork(t, 33, 3)
+	far := fleet.Of(n.State(0)).Endpoints("model")[1:]
+	for _, test := range []struct {
+		name     string
+		answer   func(id string) *wire.Placed // nil for none
+		places   int
+		dones    int
+		ownUsage usage
+		held     bool
+	}{
+		{"placed", func(id string) *wire.Placed { return &wire.Placed{Request: id, Endpoint: far[0].ID} }, 1, 0, usage{}, true},
+		{"full", func(id string) *wire.Placed { return &wire.Placed{Request: id, Wait: 500} }, 2, 0, usage{}, false},
+		{"unknown endpoint", func(id string) *wire.Placed { return &wire.Placed{Request: id, Endpoint: "e"} }, 2, 2, usage{}, false},
+		{"no answer", nil, 2, 2, usage{requests: 1, tokens: 100}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startFarServer(t, n)
+			var sent []*wire.Frame
+			s.placements.send = func(node string, f *wire.Frame) {
+				sent = append(sent, f)
+				if p := f.GetPlace(); p != nil && test.answer != nil {
+					s.isUnwanted(node, test.answer(p.GetRequest()))
+				}
+			}
+			sel := s.withinGroup(selection{service: engineService, maxFill: place.MaxFillNew, avoid: []string{"i-0000000000"}, use: usage{requests: 1, tokens: 100}})
+			rr := &routedRequest{req: &Request{}, route: &table.Route{}, service: engineService, deadline: time.Now().Add(time.Minute)}
+			e, p, ok := s.askPlacement(context.Background(), rr, sel)
+			qt.Assert(t, ok, qt.Equals, test.held || test.ownUsage.requests > 0)
+			qt.Assert(t, p != nil, qt.Equals, test.held)
+			qt.Assert(t, s.usage.stats(e.ID).usage, qt.Equals, test.ownUsage)
+			dones := slices.DeleteFunc(slices.Clone(sent), func(f *wire.Frame) bool { return f.GetDone() == nil })
+			qt.Assert(t, dones, qt.HasLen, test.dones)
+			qt.Assert(t, sent, qt.HasLen, test.places+test.dones)
+			if test.held { // as when the process is paused before it sends the request
+				g := &generation{server: s, routed: rr, placement: p, tokens: 100}
+				qt.Assert(t, g.endStalePlacement(p.answeredAt.Add(lease.MaxAge-1)), qt.IsFalse)
+				qt.Assert(t, g.endStalePlacement(p.answeredAt.Add(lease.MaxAge)), qt.IsTrue)
+				qt.Assert(t, sent[len(sent)-1].GetDone().GetRequest(), qt.Equals, p.id)
+			}
+			qt.Assert(t, s.placements.own, qt.HasLen, 0)
+		})
+	}
+}
+
+// startFarServer returns a server whose daemon knows what the first node of a network does.
+func startFarServer(t *testing.T, n *simnet.Network) *Server {
+	d, err := daemon.New(context.Background(), daemon.Config{Self: &wire.Member{Id: "127.0.0.1:0", Centre: "dc-0"}, Trace: trace.NewRecorder("n", 8), Metrics: metrics.NewSet()})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		qt.Assert(t, <-done, qt.IsNil)
+	})
+	var members []*wire.Member
+	for _, p := range member.Of(n.State(0)).Peers() {
+		members = append(members, p.Member)
+	}
+	d.Post(ctx, kernel.FrameReceived{From: simnet.ID(1), Frame: &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{News: members}}}})
+	d.Post(ctx, learnedItems(t, 3, func(i int) string { return fmt.Sprintf("dc-%d", i) }))
+	for len(fleet.Of(d.State()).LoadGroup().Nodes()) != 12 || !fleet.Of(d.State()).Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return New(Config{Daemon: d, Centre: "dc-0", Seed: 1})
+}
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -26,11 +26,19 @@
 	n := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond})
 	n.Run(20 * time.Second)
 	qt.Assert(t, member.Of(n.State(0)).Owners(), qt.HasLen, nodes)
+	n.Step(0, learnedItems(t, engines, func(i int) string { return member.Of(n.State(i % 3)).Self().GetCentre() }))
+	n.Run(time.Second)
+	return n
+}
+
+// learnedItems returns the items of a table and of engines, each in the data centre that centre
+// returns for its number. The last engine runs another version than the others.
+func learnedItems(t testing.TB, engines int, centre func(engine int) string) kernel.ItemsLearned {
 	item, err := fleet.TableItem(table.Config{Version: 1, Services: []table.Service{*engineService}}, fleet.Version{Revision: 1})
 	qt.Assert(t, err, qt.IsNil)
 	learned := kernel.ItemsLearned{Items: []*wire.Item{item}, Complete: true}
 	for i := range engines {
-		e := fleet.Endpoint{ID: fmt.Sprintf("i-%010x", i), Service: "model", Addr: "10.0.0.1:80", Centre: member.Of(n.State(i % 3)).Self().GetCentre(), Slots: 24, Version: "v1"}
+		e := fleet.Endpoint{ID: fmt.Sprintf("i-%010x", i), Service: "model", Addr: "10.0.0.1:80", Centre: centre(i), Slots: 24, Version: "v1"}
 		if i == engines-1 {
 			e.Version = "v2"
 		}
@@ -38,9 +46,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		learned.Items = append(learned.Items, item)
 	}
-	n.Step(0, learned)
-	n.Run(time.Second)
-	return n
+	return learned
 }
 
 var sizes = []struct{ nodes, engines int }{{4, 12}, {33, 57}, {100, 1000}, {300, 3000}}
