--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -93,7 +93,8 @@
 	s, now := g.server, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.routed.isTimed() {
+	if g.routed.isTimed() && g.placement == nil {
+		// What else runs on an engine that another node chose is not known here.
 		g.measure(now, s.view(), seg)
 	}
 	if seg.events == 0 {
@@ -103,7 +104,7 @@
 	g.grow(now, seg)
 	if g.promptPending {
 		g.promptPending = false
-		s.usage.add(now, seg.endpoint.ID, usage{prompt: -g.prompt})
+		g.changeUsage(now, seg.endpoint.ID, usage{prompt: -g.prompt})
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,6 +49,10 @@
 	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="slowest"}`, func() float64 { slowest, _ := s.slowFactors(time.Now()); return slowest })
 	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="median"}`, func() float64 { _, median := s.slowFactors(time.Now()); return median })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
+	set.GetOrCreateGauge("plantaindeck_held_placements", func() float64 { return float64(s.heldPlacements()) })
+	for _, o := range askOutcomes {
+		set.GetOrCreateCounter(askedMetric(o))
+	}
 	return &serverMetrics{
 		set:           set,
 		retries:       set.GetOrCreateCounter("plantaindeck_repeats_total"),
--- a/entry/room.go
+++ b/entry/room.go
@@ -37,6 +37,7 @@
 		g.prefixes = promptPrefixes(rr.req)
 		sel.prefixes = g.prefixes
 	}
+	sel = s.withinGroup(sel)
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
@@ -48,6 +49,11 @@
 			s.recordPlacement(rr, e, c, place.FirstEvent(sel.need, c))
 			return e, true
 		}
+		if e, p, ok := s.askPlacement(g.ctx, rr, sel); ok {
+			g.placement = p
+			g.prompt, g.placedAt = sel.use.prompt, time.Time{} // the prompts pending at the engine are not known here
+			return e, true
+		}
 		if g.version != nil && !serves(s.view(), rr.service.Name, *g.version) {
 			g.lastErr = errors.Errorf("no engine runs version %s, which began the stream", *g.version)
 			return fleet.Endpoint{}, false
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -265,6 +265,10 @@
 	use      usage          // added to the usage of the endpoint that is chosen
 	prefixes []promptPrefix // of the prompt
 	timed    bool           // the choice considers the speeds of engines
+	// groupOnly restricts the choice to endpoints of the load group and those that no group
+	// covers according to covering, if that is not nil.
+	groupOnly bool
+	covering  *fleet.Covering
 }
 
 // reserveEndpoint chooses a usable endpoint, adds the request to its usage and counts it
@@ -292,7 +296,7 @@
 func (s *Server) fittingCandidates(now time.Time, view *fleet.View, sel selection) ([]fleet.Endpoint, []place.Candidate) {
 	var endpoints []fleet.Endpoint
 	var candidates []place.Candidate
-	usable := s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid)
+	usable := slices.DeleteFunc(s.usableEndpoints(now, view, sel.service.Name, sel.version, sel.avoid), func(e fleet.Endpoint) bool { return !sel.allows(view, e) })
 	all := make([]place.Candidate, len(usable))
 	for i, e := range usable {
 		all[i] = s.candidate(now, view, sel.service, e, sel.centre)
