Generations wait for room in the order of package queue

A generation without room polled for an eighth of its objective, independently of the others at its node. Now the generations with an objective queue: each takes a place only if the ones ahead leave it one, and waits until its latest start. One that room would reach too late by the rate at which places are freed is rejected with the expected wait as Retry-After. A freed place and news wake the first in order.

go test ./entry ./queue passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -171,6 +171,7 @@
 	mu              sync.Mutex
 	rand            *rand.Rand
 	usage           *usageTracker
+	rooms           roomQueue
 	bodies          *bodyMemory
 	metrics         *serverMetrics
 	retryLimiters   map[string]*retry.Limiter                  // by service
@@ -208,10 +209,15 @@
 	go func() {
 		t := time.NewTicker(reportInterval)
 		defer t.Stop()
+		var known *fleet.View
 		for ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 			case now := <-t.C:
+				if view := s.view(); view != known {
+					known = view
+					s.rooms.wake(now, "")
+				}
 				s.probeEngines(ctx, now)
 				if event, changed := s.usageReport(now); changed {
 					s.cfg.Daemon.Post(ctx, event)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -21,6 +21,7 @@
 	limits        *metrics.Counter
 	crashes       *metrics.Counter
 	quarantined   *metrics.Counter
+	rejectedEarly *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -41,6 +42,7 @@
 		return time.Since(s.view().LastStoreContact()).Seconds()
 	})
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
+	set.GetOrCreateGauge("plantaindeck_waiting", func() float64 { return float64(s.rooms.length()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge("plantaindeck_quarantines", func() float64 { return float64(poison.Of(s.cfg.Daemon.State()).Len(time.Now())) })
 	return &serverMetrics{
@@ -51,6 +53,7 @@
 		limits:        set.GetOrCreateCounter("plantaindeck_endpoint_limits_total"),
 		crashes:       set.GetOrCreateCounter("plantaindeck_endpoint_crashes_total"),
 		quarantined:   set.GetOrCreateCounter("plantaindeck_quarantined_requests_total"),
+		rejectedEarly: set.GetOrCreateCounter("plantaindeck_rejected_early_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- a/entry/room.go
+++ b/entry/room.go
@@ -19,8 +19,8 @@
 	callerRetrySlack  = 200 * time.Millisecond // by which the caller's timeout of a first request may be below the route's, due to the caller's clock and the network
 )
 
-// waitForRoom waits a short time for an engine with room for the generation, and
-// reserves it.
+// waitForRoom waits for an engine with room for the generation, in the order of the queue,
+// and reserves it.
 func (g *generation) waitForRoom() (fleet.Endpoint, bool) {
 	s, rr := g.server, g.routed
 	sel := selection{
@@ -35,8 +35,18 @@
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
-	for {
-		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
+	w := s.joinQueue(began, g)
+	defer s.leaveQueue(w)
+	var wake <-chan struct{}
+	if w != nil {
+		until, wake = w.until, w.wake
+	}
+	for looks := 0; ; looks++ {
+		e, c, ahead, ok := s.reserveInTurn(time.Now(), s.view(), sel, w)
+		if ok {
+			if g.placedAt = time.Now(); looks > 0 {
+				s.recordWait(rr, g.placedAt.Sub(began), ahead, "placed on "+e.ID)
+			}
 			s.recordPlacement(rr, e, c)
 			return e, true
 		}
@@ -54,11 +64,25 @@
 			sel.avoid = nil
 			continue
 		}
-		if !now.Before(until) || !wait.For(g.ctx, roomCheckInterval) {
-			s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
-			g.lastErr = errors.New("no engine has room")
-			return fleet.Endpoint{}, false
+		var why shed
+		ended := w == nil && !now.Before(until)
+		if w != nil {
+			why, ended = s.whyShed(now, w, looks == 0)
+		}
+		if !ended && wait.ForSignal(g.ctx, wake, roomCheckInterval) {
+			continue
+		}
+		if w != nil {
+			s.recordWait(rr, time.Since(began), ahead, cmp.Or(why.cause, "the request has ended"))
+		}
+		s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
+		if why.wait > 0 {
+			s.metrics.rejectedEarly.Inc()
+			s.record("reject", rr.req, "", fmt.Sprintf("%s; %d requests are ahead", why.cause, ahead))
+			g.rejected = why.wait
 		}
+		g.lastErr = errors.New("no engine has room")
+		return fleet.Endpoint{}, false
 	}
 }
 
@@ -105,7 +129,7 @@
 	return rr.req.LastEventID != "" || rr.req.CallerTimeout > 0 && rr.req.CallerTimeout < rr.route.Timeout-callerRetrySlack
 }
 
-// roomWait returns how long a request waits for room before it is shed. A retry
+// roomWait returns how long a request waits for room at least before it is shed. A retry
 // of the caller waits longer, as another retry would gain nothing.
 func (rr *routedRequest) roomWait() time.Duration {
 	if rr.isCallerRetry() {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -42,6 +42,8 @@
 	refusals      int
 	lastErr       error
 	version       *string       // of the engines that made the events which the caller has; nil if it has none
+	placedAt      time.Time     // when the last place without a copy was reserved
+	rejected      time.Duration // after which room is expected, when the forecast kept the generation from being placed; else 0
 	rest          time.Duration // until the first engine takes requests again, when that kept the generation from being placed; else 0
 
 	// Guarded by the server's mutex.
@@ -80,6 +82,9 @@
 		out.Abort()
 		return nil
 	}
+	if g.rejected > 0 && !rr.mayHaveRun {
+		return s.rejectError(time.Now(), rr, g.rejected)
+	}
 	if g.rest > 0 && !rr.mayHaveRun {
 		return s.restError(rr, g.rest)
 	}
@@ -188,6 +193,7 @@
 // removeUsage removes the generation from the usage of an engine.
 func (g *generation) removeUsage(id string) {
 	s := g.server
+	defer s.notifyFreed(g, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := usage{requests: -1, tokens: -g.tokens}
@@ -308,6 +314,9 @@
 		req := g.routed.req
 		if req.events = g.events; g.events == 1 {
 			req.firstEventAt = now
+			if g.copyFrom == nil && req.LastEventID == "" {
+				g.server.rooms.addFirstEvent(g.routed.service.Name, g.routed.priority, now.Sub(g.placedAt))
+			}
 		}
 		if pause := now.Sub(g.lastEventAt); g.events > 1 && pause > minLoggedPause {
 			g.server.record("pause", g.routed.req, g.endpoint.ID, fmt.Sprintf("no event for %s before event %d, which is event %d from this engine", pause.Round(time.Millisecond), g.events, g.current.events))
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -56,9 +56,10 @@
 }
 
 // Less reports whether a goes before b at the time now.
-func Less(now time.Time, a, b Request) bool { return compare(now, a, b) < 0 }
+func Less(now time.Time, a, b Request) bool { return Compare(now, a, b) < 0 }
 
-func compare(now time.Time, a, b Request) int {
+// Compare is Less as a three-way comparison: negative if a goes before b.
+func Compare(now time.Time, a, b Request) int {
 	starvingA, starvingB := a.isStarving(now), b.isStarving(now)
 	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), falseFirst(!starvingA, !starvingB)); c != 0 {
 		return c
@@ -88,7 +89,7 @@
 
 // Sort sorts requests by their order at the time now.
 func Sort(now time.Time, list []Request) {
-	slices.SortFunc(list, func(a, b Request) int { return compare(now, a, b) })
+	slices.SortFunc(list, func(a, b Request) int { return Compare(now, a, b) })
 }
 
 // Ahead returns those of the others that go before own, in no order.
