Load groups exchange their waiting requests, and the forecast counts them

Each node ordered only its own requests. Turns and forecasts count those of the group that are younger than 500 ms, and the places that the group's nodes freed.

--- a/entry/queue.go
+++ b/entry/queue.go
@@ -15,21 +15,26 @@
 	"github.com/plantaindeck/plantaindeck/queue"
 	"github.com/plantaindeck/plantaindeck/table"
 	"github.com/plantaindeck/plantaindeck/trace"
+	"github.com/plantaindeck/plantaindeck/wire"
 )
 
 const (
-	maxWoken         = 4        // generations of a service that look for room at once when a place may have become free
-	firstEventWeight = 1.0 / 16 // of a new sample in the expected time to the first event
-	continuedAge     = 5        // a generation that its caller has a part of is ordered as if it had waited its objective times this, which counts as starving
-	retryAfterPart   = 3        // Retry-After is at most the caller's time left divided by this
+	maxWoken              = 4                      // generations of a service that look for room at once when a place may have become free
+	maxReportedWaiting    = 8                      // generations of a service that the kernel is told of
+	waitingReportInterval = 100 * time.Millisecond // between two reports while generations wait
+	firstEventWeight      = 1.0 / 16               // of a new sample in the expected time to the first event
+	continuedAge          = 5                      // a generation that its caller has a part of is ordered as if it had waited its objective times this, which counts as starving
+	retryAfterPart        = 3                      // Retry-After is at most the caller's time left divided by this
 )
 
 // roomQueue holds the generations that wait for room at this node, and what the forecast
 // of their waiting times needs. Load pattern: in a burst, hundreds of generations wait at
 // a node, and each place that is freed must go to the one that needs it first.
 type roomQueue struct {
-	mu       sync.Mutex
-	services map[string]*serviceQueue
+	mu         sync.Mutex
+	services   map[string]*serviceQueue
+	reportedAt time.Time // when the kernel was last told of waiting generations
+	reported   bool      // some waited then
 }
 
 // serviceQueue holds the generations that wait for room on the engines of a service.
@@ -41,12 +46,13 @@
 
 // waiter is a generation that waits for room.
 type waiter struct {
-	service string
-	request queue.Request
-	useful  time.Time     // latest start that is of use to the caller, late or not
-	until   time.Time     // until when it waits whatever the forecast says
-	fresh   bool          // it has not run, so that it may be rejected
-	wake    chan struct{} // receives when a place may have become free
+	service   string
+	workspace string
+	request   queue.Request
+	useful    time.Time     // latest start that is of use to the caller, late or not
+	until     time.Time     // until when it waits whatever the forecast says
+	fresh     bool          // it has not run, so that it may be rejected
+	wake      chan struct{} // receives when a place may have become free
 }
 
 // service returns the queue of a service. The mutex is held.
@@ -98,6 +104,24 @@
 	return list[:min(n, len(list))]
 }
 
+// report returns the first waiting generations of each service for the kernel, their number
+// in all, and whether a report about them is due.
+func (q *roomQueue) report(now time.Time) (list []*wire.Waiting, total uint32, due bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for name, sq := range q.services {
+		total += uint32(len(sq.waiters))
+		for _, w := range sq.first(now, maxReportedWaiting) {
+			list = append(list, fleet.EncodeWaiting(now, name, w.workspace, w.request))
+		}
+	}
+	due = total > 0 && now.Sub(q.reportedAt) >= waitingReportInterval || (total > 0) != q.reported
+	if due {
+		q.reportedAt, q.reported = now, total > 0
+	}
+	return list, total, due
+}
+
 // addFreed records that a generation has freed its place, and wakes those that wait.
 func (q *roomQueue) addFreed(now time.Time, service string, tokens int) {
 	q.mu.Lock()
@@ -150,7 +174,7 @@
 		r.Arrived = now.Add(-continuedAge * objective)
 	}
 	r.Start = r.Arrived.Add(objective - prefill)
-	w := &waiter{service: name, request: r, until: now.Add(rr.roomWait()), fresh: !rr.mayHaveRun && g.version == nil, wake: make(chan struct{}, 1)}
+	w := &waiter{service: name, workspace: rr.workspace, request: r, until: now.Add(rr.roomWait()), fresh: !rr.mayHaveRun && g.version == nil, wake: make(chan struct{}, 1)}
 	if w.fresh {
 		w.until = later(w.until, r.Start)
 		w.useful = later(w.until, rr.deadline.Add(-prefill-time.Duration(rr.expectedOutput())*timePerToken))
@@ -190,17 +214,19 @@
 	return rr.req.Arrived
 }
 
-// others returns the requests that wait for the service of w, except itself.
-func (s *Server) others(w *waiter) []queue.Request {
+// others returns the requests that wait for the service of w at this node, except itself,
+// and at the other nodes of the load group, with an estimate of the number of further ones
+// that those have not told of.
+func (s *Server) others(now time.Time, view *fleet.View, w *waiter) ([]queue.Request, int) {
+	list, more := view.GroupWaiting(now, w.service)
 	s.rooms.mu.Lock()
 	defer s.rooms.mu.Unlock()
-	var list []queue.Request
 	for other := range s.rooms.service(w.service).waiters {
 		if other != w {
 			list = append(list, other.request)
 		}
 	}
-	return list
+	return list, more
 }
 
 // reserveInTurn is reserveEndpoint for a generation that waits in the queue: it takes a
@@ -208,7 +234,7 @@
 func (s *Server) reserveInTurn(now time.Time, view *fleet.View, sel selection, w *waiter) (fleet.Endpoint, place.Candidate, int, bool) {
 	ahead := 0
 	if w != nil {
-		if others := s.others(w); len(others) > 0 {
+		if others, _ := s.others(now, view, w); len(others) > 0 {
 			d := queue.Turn(now, w.request, others, s.freeRooms(now, view, sel))
 			if ahead = d.Ahead; !d.Go {
 				return fleet.Endpoint{}, place.Candidate{}, ahead, false
@@ -238,17 +264,21 @@
 }
 
 // forecast returns how long w is expected to wait for room, or false if too few places
-// have been freed of late to tell.
-func (s *Server) forecast(now time.Time, w *waiter) (time.Duration, bool) {
-	ahead := queue.Load{}.Plus(queue.Ahead(now, w.request, s.others(w))...)
+// have been freed of late to tell. Half of the requests that other nodes have not told of
+// count as ahead, as large as w, since nothing is known of their order.
+func (s *Server) forecast(now time.Time, view *fleet.View, w *waiter) (time.Duration, bool) {
+	others, more := s.others(now, view, w)
+	ahead := queue.Load{}.Plus(queue.Ahead(now, w.request, others)...)
+	ahead.Requests += float64(more) / 2
+	ahead.Tokens += float64(more*w.request.Tokens) / 2
 	s.rooms.mu.Lock()
-	freed := s.rooms.service(w.service).freed
+	own, known := s.rooms.service(w.service).freed.PerSecond(now)
 	s.rooms.mu.Unlock()
-	rate, known := freed.PerSecond(now)
-	if !known {
+	group, groupKnown := view.GroupFreed(w.service).PerSecond(now)
+	if !known && !groupKnown {
 		return 0, false
 	}
-	return queue.Wait(ahead, w.request, rate), true
+	return queue.Wait(ahead, w.request, queue.Load{Requests: own.Requests + group.Requests, Tokens: own.Tokens + group.Tokens}), true
 }
 
 // shed is why a generation stops waiting for room.
@@ -261,7 +291,7 @@
 // may. It waits at least until its latest start, unless the forecast at arrival says that
 // it would get room only when that is of no use. After that it waits while the forecast
 // says that it will get room in time to be of use.
-func (s *Server) whyShed(now time.Time, w *waiter, arrival bool) (shed, bool) {
+func (s *Server) whyShed(now time.Time, view *fleet.View, w *waiter, arrival bool) (shed, bool) {
 	isLate := !now.Before(w.until)
 	if !isLate && !arrival {
 		return shed{}, false
@@ -269,7 +299,7 @@
 	if !w.fresh {
 		return shed{cause: "the time to wait for room is over"}, isLate
 	}
-	expected, known := s.forecast(now, w)
+	expected, known := s.forecast(now, view, w)
 	switch {
 	case known && now.Add(expected).After(w.useful):
 		return shed{cause: fmt.Sprintf("room is expected in %s, of use only within %s", expected.Round(time.Millisecond), w.useful.Sub(now).Round(time.Millisecond)), wait: max(expected, time.Millisecond)}, true
--- a/entry/room.go
+++ b/entry/room.go
@@ -67,7 +67,7 @@
 		var why shed
 		ended := w == nil && !now.Before(until)
 		if w != nil {
-			why, ended = s.whyShed(now, w, looks == 0)
+			why, ended = s.whyShed(now, s.view(), w, looks == 0)
 		}
 		if !ended && wait.ForSignal(g.ctx, wake, roomCheckInterval) {
 			continue
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -226,11 +226,12 @@
 func (s *Server) usageReport(now time.Time) (kernel.LocalUsageReported, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.usage.changed && now.Sub(s.usage.reportedAt) < outcomeReportInterval {
+	waiting, queued, due := s.rooms.report(now)
+	if !s.usage.changed && !due && now.Sub(s.usage.reportedAt) < outcomeReportInterval {
 		return kernel.LocalUsageReported{}, false
 	}
 	s.usage.changed, s.usage.reportedAt = false, now
-	report := kernel.LocalUsageReported{Pooled: map[string]uint32{}}
+	report := kernel.LocalUsageReported{Pooled: map[string]uint32{}, Waiting: waiting, Queued: queued}
 	for service, l := range s.retryLimiters {
 		if n := l.Pooled(now); n > 0 {
 			report.Pooled[service] = uint32(n)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,7 @@
 
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/owner"
+	"github.com/plantaindeck/plantaindeck/queue"
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
@@ -112,6 +113,10 @@
 	shares        map[string]RateShare     // of the limits that count, by endpoint
 	self          string                   // id of this node
 	sharers       []string                 // sorted ids of the nodes that divide the slots of brittle endpoints, this one included
+	localWaiting  waitingList              // this node's requests that wait for room
+	waitingSentAt time.Time                // when the load group was last told of localWaiting
+	waitingSent   bool                     // some requests waited then
+	freed         map[string]queue.Flow    // load freed by the other nodes of the load group, by service
 	mixedAt       map[string]time.Time     // when endpoints of more than one version were last listed, by service
 }
 
@@ -121,6 +126,7 @@
 	sameCentre bool // the node is in this node's data centre
 	uses       map[string]EndpointUsage
 	pooled     map[string]uint32 // retries from the pool of the load group in the last window, by service
+	waiting    waitingList       // requests that wait there
 }
 
 // EndpointUsage is the usage of one endpoint by one or more nodes, with the outcomes of
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -17,6 +17,7 @@
 func (v *View) setLocalUsage(now time.Time, m *member.View, e kernel.LocalUsageReported) (*View, []kernel.Effect) {
 	next := *v
 	next.localUsage, next.localPooled = decodeUses(e.Uses), e.Pooled
+	next.localWaiting = decodeWaiting(now, "", e.Waiting, e.Queued)
 	if isLarge(m) {
 		return &next, nil
 	}
@@ -45,11 +46,13 @@
 			delete(sent, id)
 		}
 	}
-	if len(changes) == 0 && !v.pooledRose() {
+	if len(changes) == 0 && !v.pooledRose() && !v.waitingIsDue(now) {
 		return nil
 	}
 	v.sentUsage, v.sentPooled, v.changesSentAt = sent, v.localPooled, now
-	return sendUsage(m, v.group.nodes, &wire.Usage{Changes: true, Uses: changes, Pooled: v.localPooled})
+	u := &wire.Usage{Changes: true, Uses: changes, Pooled: v.localPooled}
+	v.addWaiting(now, u)
+	return sendUsage(m, v.group.nodes, u)
 }
 
 // pooledRose reports whether this node has taken more retries at a service from the pool
@@ -170,7 +173,11 @@
 	}
 	next.peers = kernel.CloneMap(v.peers)
 	sameCentre := m.SameCentre(from)
-	next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled()}
+	next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled(), waiting: old.waiting}
+	if len(u.GetWaiting()) > 0 {
+		next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled(), waiting: decodeWaiting(now, from, u.GetWaiting(), u.GetQueued())}
+	}
+	next.addFreed(now, from, old.uses, uses)
 	next.remoteUsage = kernel.CloneMap(v.remoteUsage)
 	next.addUsage(old, -1)
 	next.addUsage(next.peers[from], 1)
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -125,8 +125,10 @@
 
 // LocalUsageReported carries the local usage: what this node runs on endpoints.
 type LocalUsageReported struct {
-	Uses   []*wire.Use       // one for each endpoint in use
-	Pooled map[string]uint32 // retries from the pool of the load group in the last window of the limit, by service
+	Uses    []*wire.Use       // one for each endpoint in use
+	Pooled  map[string]uint32 // retries from the pool of the load group in the last window of the limit, by service
+	Waiting []*wire.Waiting   // the first requests that wait for room at this node, in their order
+	Queued  uint32            // number of the requests that wait for room at this node
 }
 
 // LeaveReported reports that an endpoint told this node that it is leaving.
