Workspaces above their share of a service wait longer under shortage

A workspace that sends the most got the most of a full service. While generations at the node are late, or forecast to be, those of a workspace that holds more than an equal share of the service's tokens (mean over 10 s, at this node) go after the others of their priority.

go test ./queue and the queue tests of ./entry pass.

--- a/entry/queue.go
+++ b/entry/queue.go
@@ -40,8 +40,10 @@
 // serviceQueue holds the generations that wait for room on the engines of a service.
 type serviceQueue struct {
 	waiters     map[*waiter]bool
-	freed       queue.Flow            // load that this node has freed on engines that stay
-	firstEvents map[int]time.Duration // expected time from the placement to the first event, by priority
+	freed       queue.Flow               // load that this node has freed on engines that stay
+	uses        map[string]*workspaceUse // by workspace
+	shortUntil  time.Time                // until then the shares of workspaces count
+	firstEvents map[int]time.Duration    // expected time from the placement to the first event, by priority
 }
 
 // waiter is a generation that waits for room.
@@ -59,7 +61,7 @@
 func (q *roomQueue) service(name string) *serviceQueue {
 	sq, ok := q.services[name]
 	if !ok {
-		sq = &serviceQueue{waiters: map[*waiter]bool{}, firstEvents: map[int]time.Duration{}}
+		sq = &serviceQueue{waiters: map[*waiter]bool{}, firstEvents: map[int]time.Duration{}, uses: map[string]*workspaceUse{}}
 		if q.services == nil {
 			q.services = map[string]*serviceQueue{}
 		}
@@ -100,7 +102,10 @@
 
 // first returns the first n generations in their order. The mutex is held.
 func (sq *serviceQueue) first(now time.Time, n int) []*waiter {
-	list := slices.SortedFunc(maps.Keys(sq.waiters), func(a, b *waiter) int { return queue.Compare(now, a.request, b.request) })
+	shares := sq.shares(now)
+	list := slices.SortedFunc(maps.Keys(sq.waiters), func(a, b *waiter) int {
+		return queue.Compare(now, a.current(shares), b.current(shares))
+	})
 	return list[:min(n, len(list))]
 }
 
@@ -111,8 +116,9 @@
 	defer q.mu.Unlock()
 	for name, sq := range q.services {
 		total += uint32(len(sq.waiters))
+		shares := sq.shares(now)
 		for _, w := range sq.first(now, maxReportedWaiting) {
-			list = append(list, fleet.EncodeWaiting(now, name, w.workspace, w.request))
+			list = append(list, fleet.EncodeWaiting(now, name, w.workspace, w.current(shares)))
 		}
 	}
 	due = total > 0 && now.Sub(q.reportedAt) >= waitingReportInterval || (total > 0) != q.reported
@@ -134,6 +140,7 @@
 // notifyFreed records that a generation no longer runs on an engine. Places on engines that
 // leave are of no use to others, and an engine that refused the generation gave it none.
 func (s *Server) notifyFreed(g *generation, id string) {
+	s.rooms.addHeld(time.Now(), g.routed, -g.tokens)
 	if e, ok := s.view().Endpoint(id); ok && !e.Leaving && g.events > 0 {
 		s.rooms.addFreed(time.Now(), e.Service, g.tokens)
 	}
@@ -214,38 +221,50 @@
 	return rr.req.Arrived
 }
 
-// others returns the requests that wait for the service of w at this node, except itself,
-// and at the other nodes of the load group, with an estimate of the number of further ones
-// that those have not told of.
-func (s *Server) others(now time.Time, view *fleet.View, w *waiter) ([]queue.Request, int) {
-	list, more := view.GroupWaiting(now, w.service)
+// waiting returns the request of w as it is ordered now, the others that wait for its
+// service at this node and at the other nodes of the load group, and an estimate of the
+// number of further ones that those have not told of.
+func (s *Server) waiting(now time.Time, view *fleet.View, w *waiter) (own queue.Request, others []queue.Request, more int) {
+	others, more = view.GroupWaiting(now, w.service)
 	s.rooms.mu.Lock()
 	defer s.rooms.mu.Unlock()
-	for other := range s.rooms.service(w.service).waiters {
+	sq := s.rooms.service(w.service)
+	shares := sq.shares(now)
+	for other := range sq.waiters {
 		if other != w {
-			list = append(list, other.request)
+			others = append(others, other.current(shares))
 		}
 	}
-	return list, more
+	return w.current(shares), others, more
 }
 
-// reserveInTurn is reserveEndpoint for a generation that waits in the queue: it takes a
-// place only if the requests ahead leave it one. It returns the number of those.
-func (s *Server) reserveInTurn(now time.Time, view *fleet.View, sel selection, w *waiter) (fleet.Endpoint, place.Candidate, int, bool) {
-	ahead := 0
-	if w != nil {
-		if others, _ := s.others(now, view, w); len(others) > 0 {
-			d := queue.Turn(now, w.request, others, s.freeRooms(now, view, sel))
-			if ahead = d.Ahead; !d.Go {
-				return fleet.Endpoint{}, place.Candidate{}, ahead, false
-			}
-			if d.Reserved != "" {
-				sel.avoid = append(sel.avoid[:len(sel.avoid):len(sel.avoid)], d.Reserved)
-			}
-		}
+// reserveInTurn is reserveEndpoint for a generation that waits in the queue, unless w is
+// nil: it takes a place only if the requests ahead leave it one. The queue is read only if
+// there is a place, since all waiting generations look for one at short intervals.
+func (s *Server) reserveInTurn(now time.Time, view *fleet.View, sel selection, w *waiter) (fleet.Endpoint, place.Candidate, bool) {
+	if w == nil {
+		return s.reserveEndpoint(now, view, sel)
+	}
+	rooms := s.freeRooms(now, view, sel)
+	if len(rooms) == 0 {
+		return fleet.Endpoint{}, place.Candidate{}, false
 	}
-	e, c, ok := s.reserveEndpoint(now, view, sel)
-	return e, c, ahead, ok
+	own, others, _ := s.waiting(now, view, w)
+	d := queue.Turn(now, own, others, rooms)
+	if !d.Go {
+		return fleet.Endpoint{}, place.Candidate{}, false
+	}
+	if d.Reserved != "" {
+		sel.avoid = append(sel.avoid[:len(sel.avoid):len(sel.avoid)], d.Reserved)
+	}
+	return s.reserveEndpoint(now, view, sel)
+}
+
+// countAhead returns the number of requests, as far as this node knows them, that go
+// before w.
+func (s *Server) countAhead(now time.Time, view *fleet.View, w *waiter) int {
+	own, others, _ := s.waiting(now, view, w)
+	return len(queue.Ahead(now, own, others))
 }
 
 // freeRooms returns what the engines have free in which a generation fits.
@@ -267,8 +286,8 @@
 // have been freed of late to tell. Half of the requests that other nodes have not told of
 // count as ahead, as large as w, since nothing is known of their order.
 func (s *Server) forecast(now time.Time, view *fleet.View, w *waiter) (time.Duration, bool) {
-	others, more := s.others(now, view, w)
-	ahead := queue.Load{}.Plus(queue.Ahead(now, w.request, others)...)
+	request, others, more := s.waiting(now, view, w)
+	ahead := queue.Load{}.Plus(queue.Ahead(now, request, others)...)
 	ahead.Requests += float64(more) / 2
 	ahead.Tokens += float64(more*w.request.Tokens) / 2
 	s.rooms.mu.Lock()
@@ -300,6 +319,9 @@
 		return shed{cause: "the time to wait for room is over"}, isLate
 	}
 	expected, known := s.forecast(now, view, w)
+	if isLate || known && now.Add(expected).After(w.request.Start) {
+		s.rooms.recordShortage(now, w.service)
+	}
 	switch {
 	case known && now.Add(expected).After(w.useful):
 		return shed{cause: fmt.Sprintf("room is expected in %s, of use only within %s", expected.Round(time.Millisecond), w.useful.Sub(now).Round(time.Millisecond)), wait: max(expected, time.Millisecond)}, true
@@ -310,7 +332,8 @@
 }
 
 // recordWait records the end of a wait for room.
-func (s *Server) recordWait(rr *routedRequest, waited time.Duration, ahead int, end string) {
+func (s *Server) recordWait(rr *routedRequest, w *waiter, waited time.Duration, end string) {
+	ahead := s.countAhead(time.Now(), s.view(), w)
 	s.cfg.Daemon.Record(trace.Entry{Kind: "wait", Request: rr.req.ID, Workspace: rr.workspace, Routine: true, Detail: fmt.Sprintf("waited %s for room, with %d requests ahead at last: %s", waited.Round(time.Millisecond), ahead, end)})
 }
 
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -40,22 +40,18 @@
 	sel := selection{service: engineService, centre: s.cfg.Centre, need: place.Need{Tokens: 3100}, maxFill: place.MaxFillNew, use: usage{requests: 1, tokens: 3100}}
 	draft := s.joinQueue(now, waitingGeneration("draft", now, 2, 4*time.Second))
 	check := s.joinQueue(now, waitingGeneration("check", now.Add(time.Millisecond), 0, 1500*time.Millisecond))
-	reserve := func(w *waiter) (int, bool) {
-		_, _, ahead, ok := s.reserveInTurn(now, view, sel, w)
-		return ahead, ok
+	reserve := func(w *waiter) bool {
+		_, _, ok := s.reserveInTurn(now, view, sel, w)
+		return ok
 	}
-	ahead, ok := reserve(draft)
-	qt.Assert(t, ok, qt.IsFalse)
-	qt.Assert(t, ahead, qt.Equals, 1)
-	_, ok = reserve(check)
-	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, reserve(draft), qt.IsFalse)
+	qt.Assert(t, s.countAhead(now, view, draft), qt.Equals, 1)
+	qt.Assert(t, reserve(check), qt.IsTrue)
 	s.leaveQueue(check)
 	qt.Assert(t, draft.wake, qt.HasLen, 1)
-	_, ok = reserve(draft)
-	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, reserve(draft), qt.IsFalse)
 	s.usage.add(now, view.Endpoints(engineService.Name)[0].ID, usage{requests: -1})
-	_, ok = reserve(draft)
-	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, reserve(draft), qt.IsTrue)
 }
 
 // TestShedding guards against a rejection while the forecast says that room comes in time
@@ -122,3 +118,28 @@
 	qt.Assert(t, w.request.Start, qt.Equals, now.Add(time.Second))
 	qt.Assert(t, w.until, qt.Equals, now.Add(4*time.Second))
 }
+
+// TestShares guards against a workspace that keeps the others from a service under
+// shortage, and against an order that depends on shares without one.
+func TestShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &Server{}
+	join := func(workspace string, arrived time.Time) *waiter {
+		g := waitingGeneration(workspace, arrived, 2, 4*time.Second)
+		g.routed.workspace = workspace
+		return s.joinQueue(now, g)
+	}
+	large, small := join("large", now), join("small", now.Add(time.Millisecond))
+	for w, tokens := range map[string]int{"large": 9000, "small": 3000} {
+		s.rooms.addHeld(now.Add(-20*time.Second), &routedRequest{service: engineService, workspace: w}, tokens)
+	}
+	assertShares := func(now time.Time, first *waiter, share int) {
+		sq := s.rooms.service("model")
+		qt.Assert(t, sq.first(now, 1)[0], qt.Equals, first)
+		qt.Assert(t, large.current(sq.shares(now)).Share, qt.Equals, share)
+	}
+	assertShares(now, large, 0)
+	s.rooms.recordShortage(now, "model")
+	assertShares(now, small, 150)
+	assertShares(now.Add(shortageTime), large, 0)
+}
--- a/entry/room.go
+++ b/entry/room.go
@@ -42,11 +42,12 @@
 		until, wake = w.until, w.wake
 	}
 	for looks := 0; ; looks++ {
-		e, c, ahead, ok := s.reserveInTurn(time.Now(), s.view(), sel, w)
+		e, c, ok := s.reserveInTurn(time.Now(), s.view(), sel, w)
 		if ok {
-			if g.placedAt = time.Now(); looks > 0 {
-				s.recordWait(rr, g.placedAt.Sub(began), ahead, "placed on "+e.ID)
+			if g.placedAt = time.Now(); looks > 0 && w != nil {
+				s.recordWait(rr, w, g.placedAt.Sub(began), "placed on "+e.ID)
 			}
+			s.rooms.addHeld(g.placedAt, rr, g.tokens)
 			s.recordPlacement(rr, e, c)
 			return e, true
 		}
@@ -73,12 +74,12 @@
 			continue
 		}
 		if w != nil {
-			s.recordWait(rr, time.Since(began), ahead, cmp.Or(why.cause, "the request has ended"))
+			s.recordWait(rr, w, time.Since(began), cmp.Or(why.cause, "the request has ended"))
 		}
 		s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
 		if why.wait > 0 {
 			s.metrics.rejectedEarly.Inc()
-			s.record("reject", rr.req, "", fmt.Sprintf("%s; %d requests are ahead", why.cause, ahead))
+			s.record("reject", rr.req, "", why.cause)
 			g.rejected = why.wait
 		}
 		g.lastErr = errors.New("no engine has room")
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -188,6 +188,7 @@
 // engine.
 func (g *generation) addUsage() {
 	g.server.addUsage(g.endpoint.ID, g.usageOnEngine())
+	g.server.rooms.addHeld(time.Now(), g.routed, g.tokens)
 }
 
 // removeUsage removes the generation from the usage of an engine.
