--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -21,6 +21,7 @@
 	limits        *metrics.Counter
 	crashes       *metrics.Counter
 	quarantined   *metrics.Counter
+	rejectedEarly *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -45,6 +46,7 @@
 	set.GetOrCreateGauge("plantaindeck_rate_limited_endpoints", func() float64 { return float64(s.view().LimitedCount()) })
 	set.GetOrCreateGauge("plantaindeck_evacuated_centres", func() float64 { return float64(len(s.view().Evacuations())) })
 	set.GetOrCreateGauge("plantaindeck_cold_endpoints", func() float64 { return float64(s.view().ColdCount()) })
+	set.GetOrCreateGauge("plantaindeck_waiting", func() float64 { return float64(s.rooms.length()) })
 	set.GetOrCreateGauge("plantaindeck_unreachable_endpoints", func() float64 { return float64(s.unreachableCount()) })
 	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="slowest"}`, func() float64 { slowest, _ := s.slowFactors(time.Now()); return slowest })
 	set.GetOrCreateGauge(`plantaindeck_engine_slow_factor{engine="median"}`, func() float64 { _, median := s.slowFactors(time.Now()); return median })
@@ -61,6 +63,7 @@
 		limits:        set.GetOrCreateCounter("plantaindeck_endpoint_limits_total"),
 		crashes:       set.GetOrCreateCounter("plantaindeck_endpoint_crashes_total"),
 		quarantined:   set.GetOrCreateCounter("plantaindeck_quarantined_requests_total"),
+		rejectedEarly: set.GetOrCreateCounter("plantaindeck_rejected_early_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- a/entry/room.go
+++ b/entry/room.go
@@ -19,8 +19,8 @@
 	callerRetrySlack  = 200 * time.Millisecond // by which the caller's timeout of a first request may be below the route's, due to the caller's clock and the network
 )
 
-// waitForRoom waits a short time for an engine with room for the generation, and
-// reserves it.
+// waitForRoom waits for an engine with room for the generation, in the order of the queue,
+// and reserves it.
 func (g *generation) waitForRoom() (fleet.Endpoint, bool) {
 	s, rr := g.server, g.routed
 	sel := selection{
@@ -41,17 +41,27 @@
 	began := time.Now()
 	defer func() { s.metrics.recordRoomWait(rr.route.Kind, time.Since(began)) }()
 	until := began.Add(rr.roomWait())
-	for {
+	w := s.joinQueue(began, g)
+	defer s.leaveQueue(w)
+	var wake <-chan struct{}
+	if w != nil {
+		until, wake = w.until, w.wake
+	}
+	for looks := 0; ; looks++ {
 		sel.need.Timing = g.timing(time.Now(), s.view().Table())
-		if e, c, ok := s.reserveEndpoint(time.Now(), s.view(), sel); ok {
+		e, c, ok := s.reserveInTurn(time.Now(), s.view(), sel, w)
+		if ok {
 			g.prompt = sel.use.withoutCached(c).prompt
-			g.placedAt, g.pendingAtPlacement = time.Now(), c.PendingPrompt+g.prompt
+			g.pendingAtPlacement = c.PendingPrompt + g.prompt
 			s.recordPlacement(rr, e, c, place.FirstEvent(sel.need, c))
-			return e, true
+		} else if e, g.placement, ok = s.askPlacement(g.ctx, rr, sel); ok {
+			g.prompt = sel.use.prompt
 		}
-		if e, p, ok := s.askPlacement(g.ctx, rr, sel); ok {
-			g.placement = p
-			g.prompt, g.placedAt = sel.use.prompt, time.Time{} // the prompts pending at the engine are not known here
+		if ok {
+			if g.placedAt = time.Now(); looks > 0 && w != nil {
+				s.recordWait(rr, w, g.placedAt.Sub(began), "placed on "+e.ID)
+			}
+			s.rooms.addHeld(g.placedAt, rr, g.tokens)
 			return e, true
 		}
 		if g.version != nil && !serves(s.view(), rr.service.Name, *g.version) {
@@ -68,11 +78,25 @@
 			sel.avoid = nil
 			continue
 		}
-		if !now.Before(until) || !wait.For(g.ctx, roomCheckInterval) {
-			s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
-			g.lastErr = errors.New("no engine has room")
-			return fleet.Endpoint{}, false
+		var why shed
+		ended := w == nil && !now.Before(until)
+		if w != nil {
+			why, ended = s.whyShed(now, s.view(), w, looks == 0)
+		}
+		if !ended && wait.ForSignal(g.ctx, wake, roomCheckInterval) {
+			continue
+		}
+		if w != nil {
+			s.recordWait(rr, w, time.Since(began), cmp.Or(why.cause, "the request has ended"))
+		}
+		s.record("no-room", rr.req, "", s.describeFullness(time.Now(), s.view(), sel))
+		if why.wait > 0 {
+			s.metrics.rejectedEarly.Inc()
+			s.record("reject", rr.req, "", why.cause)
+			g.rejected = why.wait
 		}
+		g.lastErr = errors.New("no engine has room")
+		return fleet.Endpoint{}, false
 	}
 }
 
@@ -119,7 +143,7 @@
 	return rr.req.LastEventID != "" || rr.req.CallerTimeout > 0 && rr.req.CallerTimeout < rr.route.Timeout-callerRetrySlack
 }
 
-// roomWait returns how long a request waits for room before it is shed. A retry
+// roomWait returns how long a request waits for room at least before it is shed. A retry
 // of the caller waits longer, as another retry would gain nothing.
 func (rr *routedRequest) roomWait() time.Duration {
 	if rr.isCallerRetry() {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -40,7 +40,7 @@
 	promptPending bool           // the usage tracker counts the prompt as pending
 	prefixes      []promptPrefix // of its prompt, if the route is timed
 	prompt        int            // tokens that the usage tracker counts while the prompt is pending
-	placedAt      time.Time      // when an engine was last chosen that has to prefill the prompt
+	placedAt      time.Time      // when the last place without a copy was reserved
 	// pendingAtPlacement is the pending prompt of that engine then, this generation's included.
 	pendingAtPlacement int
 	header             http.Header // for the caller, from the first endpoint's response
@@ -48,6 +48,7 @@
 	refusals           int
 	lastErr            error
 	version            *string       // of the engines that made the events which the caller has; nil if it has none
+	rejected           time.Duration // after which room is expected, when the forecast kept the generation from being placed; else 0
 	rest               time.Duration // until the first engine takes requests again, when that kept the generation from being placed; else 0
 
 	// Guarded by the server's mutex.
@@ -86,6 +87,9 @@
 		out.Abort()
 		return nil
 	}
+	if g.rejected > 0 && !rr.mayHaveRun {
+		return s.rejectError(time.Now(), rr, g.rejected)
+	}
 	if g.rest > 0 && !rr.mayHaveRun {
 		return s.restError(rr, g.rest)
 	}
@@ -192,11 +196,13 @@
 // engine.
 func (g *generation) addUsage() {
 	g.server.addUsage(g.endpoint.ID, g.usageOnEngine())
+	g.server.rooms.addHeld(time.Now(), g.routed, g.tokens)
 }
 
 // removeUsage removes the generation from the usage of an engine.
 func (g *generation) removeUsage(id string) {
 	s := g.server
+	defer s.notifyFreed(g, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := usage{requests: -1, tokens: -g.tokens}
@@ -317,6 +323,9 @@
 		req := g.routed.req
 		if req.events = g.events; g.events == 1 {
 			req.firstEventAt = now
+			if g.copyFrom == nil && req.LastEventID == "" {
+				g.server.rooms.addFirstEvent(g.routed.service.Name, g.routed.priority, now.Sub(g.placedAt))
+			}
 		}
 		if pause := now.Sub(g.lastEventAt); g.events > 1 && pause > minLoggedPause {
 			g.server.record("pause", g.routed.req, g.endpoint.ID, fmt.Sprintf("no event for %s before event %d, which is event %d from this engine", pause.Round(time.Millisecond), g.events, g.current.events))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,6 +33,7 @@
 
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/owner"
+	"github.com/plantaindeck/plantaindeck/queue"
 	"github.com/plantaindeck/plantaindeck/table"
 )
 
@@ -121,6 +122,10 @@
 	self          string                   // id of this node
 	sharers       []string                 // sorted ids of the nodes that divide the slots of brittle endpoints, this one included
 	evacuated     map[string]Version       // items that evacuate data centres, by data centre
+	localWaiting  waitingList              // this node's requests that wait for room
+	waitingSentAt time.Time                // when the load group was last told of localWaiting
+	waitingSent   bool                     // some requests waited then
+	freed         map[string]queue.Flow    // load freed by the other nodes of the load group, by service
 	mixedAt       map[string]time.Time     // when endpoints of more than one version were last listed, by service
 }
 
@@ -130,6 +135,7 @@
 	sameCentre bool // the node is in this node's data centre
 	uses       map[string]EndpointUsage
 	pooled     map[string]uint32 // retries from the pool of the load group in the last window, by service
+	waiting    waitingList       // requests that wait there
 }
 
 // EndpointUsage is the usage of one endpoint by one or more nodes, with the outcomes of
