--- a/fleet/announce_test.go
+++ b/fleet/announce_test.go
@@ -74,15 +74,7 @@
 func linkedNetwork(t testing.TB, nodes int, lossRate float64) (*simnet.Network, *links) {
 	l := newLinks(nodes)
 	n := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: time.Millisecond, DropRate: lossRate, DuplicateRate: lossRate, LinkDelay: l.delay})
-	ok := n.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
-		for i := range nodes {
-			if len(member.Of(n.State(i)).Owners()) != nodes {
-				return false
-			}
-		}
-		return true
-	})
-	qt.Assert(t, ok, qt.IsTrue)
+	awaitJoin(t, n, nodes)
 	return n, l
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,8 @@
 // It is a plug-in of the kernel. A few nodes watch the platform's store. Changes
 // spread from them by gossip: each node forwards new items to its neighbours,
 // with the store revision that orders them, so that a node that cannot reach the
-// store learns the same. Neighbours also compare digests (anti-entropy), which
+// store learns the same. Large items are announced, and each node fetches the newest
+// version from one node at a time. Neighbours also compare digests (anti-entropy), which
 // repairs lost messages. A node sends changes of its local usage at once to the
 // nodes of its load group (LoadGroup), or at short intervals if the deployment is
 // large.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -22,6 +22,12 @@
 
 func network(t testing.TB, nodes int) *simnet.Network {
 	n := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: time.Millisecond, DropRate: 0.01, DuplicateRate: 0.01})
+	awaitJoin(t, n, nodes)
+	return n
+}
+
+// awaitJoin lets simulated time pass until all nodes know each other.
+func awaitJoin(t testing.TB, n *simnet.Network, nodes int) {
 	joined := n.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
 		for i := range nodes {
 			if len(member.Of(n.State(i)).Owners()) != nodes {
@@ -31,7 +37,6 @@
 		return true
 	})
 	qt.Assert(t, joined, qt.IsTrue)
-	return n
 }
 
 func view(n *simnet.Network, node int) *fleet.View { return fleet.Of(n.State(node)) }
