Cold endpoints: bounds of the settings, tests on the platform, documentation

The reader of the configuration adds the bounds of its settings to the table, so that all nodes divide the same.

--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -157,3 +157,16 @@
 		qt.Assert(t, own, qt.Equals, fleet.RateShare{})
 	})
 }
+
+// TestParseColdTime guards against statements that are taken for others than they are.
+func TestParseColdTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, "1500": 1500 * time.Millisecond, "1e30": maxColdTime} {
+		got, err := parseColdTime(text)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, want)
+	}
+	for _, text := range []string{"soon", "-5", "NaN"} {
+		_, err := parseColdTime(text)
+		qt.Assert(t, err, qt.ErrorAs, new(*ColdTimeError), qt.Commentf("%s", text))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,8 +116,7 @@
 	RetryAfter    string // of a refusal: seconds for which the endpoint wants no requests from this node; empty for none
 	RateLimit     string // requests a second that the endpoint takes from all nodes together; empty for no limit
 	Brittle       string // requests that the endpoint may reject in a second, for want of room, before it falls over; empty if it is not brittle
-	// Cold is how much longer the endpoint stays cold; 0 if it is not cold, nil if it does not say.
-	Cold *time.Duration
+	Cold          string // milliseconds for which the endpoint stays cold; empty if it does not say
 }
 
 // LeaveNotice is an engine's answer to whether it is leaving.
@@ -129,7 +128,7 @@
 	// together; empty if it states no limit.
 	RateLimit string
 	// Cold is as in Verdict.
-	Cold *time.Duration
+	Cold string
 }
 
 // Dialect is the protocol of the endpoints.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -79,6 +79,9 @@
 	Seeds  []string // addresses of other nodes, some of which may be stale
 	// Decode decodes an entry. It returns nil for an entry to ignore.
 	Decode func(e store.Entry) Change
+	// Cold holds the excess and the slack of the requests to cold endpoints, which become part of
+	// the table. An excess of 0 stands for the defaults of both.
+	Cold table.ColdBound
 }
 
 // Feed watches the store for one node.
@@ -275,7 +278,7 @@
 	var err error
 	switch c := change.(type) {
 	case Table:
-		item, err = fleet.TableItem(c.Config, v)
+		item, err = fleet.TableItem(withColdBounds(c.Config, f.cfg.Cold), v)
 	case Endpoint:
 		delete(f.heldRemovals, c.ID)
 		if c.Removed {
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -19,6 +19,9 @@
 // response.
 const minColdChange = 250 * time.Millisecond
 
+// maxColdTime bounds the cold time that a record may state; a longer one is a mistake.
+const maxColdTime = time.Hour
+
 // coldMemberMemory is the time for which a node that is declared dead keeps its share of a cold
 // endpoint: it may only be cut off and go on sending.
 const coldMemberMemory = 2 * time.Minute
--- a/fleet/item.go
+++ b/fleet/item.go
@@ -66,7 +66,7 @@
 		Leaving: e.Leaving,
 		Version: e.Version,
 		Born:    e.StartMillis,
-		Cold:    uint32(e.ColdFor.Milliseconds()),
+		Cold:    uint32(min(max(e.ColdFor, 0), maxColdTime).Milliseconds()),
 	})
 	if err != nil {
 		return nil, &ItemError{Name: e.ID, Err: err}
--- a/table/table.go
+++ b/table/table.go
@@ -102,6 +102,12 @@
 	Cold     ColdBound
 }
 
+// Bounds of the requests to cold endpoints that apply unless others are configured.
+const (
+	DefaultColdExcess = 1.5
+	DefaultColdSlack  = 5
+)
+
 // ColdBound says how many requests a cold endpoint can bear in any second, from all nodes
 // together: PerSecond times Excess plus Slack.
 type ColdBound struct {
