--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -170,3 +170,32 @@
 		qt.Assert(t, err, qt.ErrorAs, new(*ColdTimeError), qt.Commentf("%s", text))
 	}
 }
+
+// TestColdWhileCutOff guards against nodes that take each other for dead while they are cut off
+// from each other, and so divide the same rate twice.
+func TestColdWhileCutOff(t *testing.T) {
+	const nodes = 24
+	sim := newColdSim(t, nodes)
+	first, _ := fleet.Of(sim.State(0)).Endpoint(fleet.Of(sim.State(0)).EndpointIDs()[0])
+	ids := sim.restartCentre(t, first.Centre, 10*time.Minute, 6000)
+	sim.Run(coldSpread)
+	for name, lost := range map[string]func(from, to int) bool{
+		"half of each data centre": func(from, to int) bool { return from < nodes/2 != (to < nodes/2) },
+		"data centres":             func(from, to int) bool { return from%3 != to%3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim.Partition(lost)
+			sim.Run(30 * time.Second)
+			for _, id := range ids {
+				var rate float64
+				for i := range nodes {
+					share, _ := fleet.Of(sim.State(i)).RateShare(id)
+					rate += share.Rate
+				}
+				qt.Assert(t, rate > 0 && rate < 1.001*testBound.PerSecond, qt.IsTrue, qt.Commentf("%s gets %g a second", id, rate))
+			}
+			sim.Partition(nil)
+			sim.Run(memberTimeout)
+		})
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,8 @@
 //     leaving until its record changes in the new era, or for restoreSettleTime.
 //   - The shares that the nodes have of an endpoint's rate limit add up to at most that
 //     limit, if the nodes know the same members and have learned of the limit.
+//   - The shares that the nodes have of what a cold endpoint can bear add up to at most that and
+//     half of the allowed excess, also while nodes are cut off for up to coldMemberMemory.
 //   - A data centre is evacuated from the time at which this node learns the item that says so
 //     until it learns that item's removal.
 //   - An item that cannot be decoded yields no endpoint and does not affect the
