--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -157,3 +157,45 @@
 		qt.Assert(t, own, qt.Equals, fleet.RateShare{})
 	})
 }
+
+// TestParseColdTime guards against statements that are taken for others than they are.
+func TestParseColdTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, "1500": 1500 * time.Millisecond, "1e30": maxColdTime} {
+		got, err := parseColdTime(text)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, want)
+	}
+	for _, text := range []string{"soon", "-5", "NaN"} {
+		_, err := parseColdTime(text)
+		qt.Assert(t, err, qt.ErrorAs, new(*ColdTimeError), qt.Commentf("%s", text))
+	}
+}
+
+// TestColdWhileCutOff guards against nodes that take each other for dead while they are cut off
+// from each other, and so divide the same rate twice.
+func TestColdWhileCutOff(t *testing.T) {
+	const nodes = 24
+	sim := newColdSim(t, nodes)
+	first, _ := fleet.Of(sim.State(0)).Endpoint(fleet.Of(sim.State(0)).EndpointIDs()[0])
+	ids := sim.restartCentre(t, first.Centre, 10*time.Minute, 6000)
+	sim.Run(coldSpread)
+	for name, lost := range map[string]func(from, to int) bool{
+		"half of each data centre": func(from, to int) bool { return from < nodes/2 != (to < nodes/2) },
+		"data centres":             func(from, to int) bool { return from%3 != to%3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim.Partition(lost)
+			sim.Run(30 * time.Second)
+			for _, id := range ids {
+				var rate float64
+				for i := range nodes {
+					share, _ := fleet.Of(sim.State(i)).RateShare(id)
+					rate += share.Rate
+				}
+				qt.Assert(t, rate > 0 && rate < 1.001*testBound.PerSecond, qt.IsTrue, qt.Commentf("%s gets %g a second", id, rate))
+			}
+			sim.Partition(nil)
+			sim.Run(memberTimeout)
+		})
+	}
+}
