member: nodes that start at once find each other without a second round

Two faults delayed the start of four nodes to 2.6 and 3.0 s (set-ups of platform TestCutNodeServes). A node that had found one other waited joinInterval, 3 s, before it contacted another seed, although the first may have known no more than itself: a node now pings seeds every 0.5 s in the first 5 s. And when two groups met, the answered node learned only of the sender, and of the sender's group when digests had differed for 2 s: the sender of a ping now sends at once what the answered list lacks. No message was lost.

--- a/member/member.go
+++ b/member/member.go
@@ -37,6 +37,7 @@
 	suspicionTimeout   = 2 * time.Second        // time without a refutation after which a suspected member is declared dead
 	maxTickGap         = 600 * time.Millisecond // between two Ticks; a longer gap means that this process was paused
 	joinInterval       = 3 * time.Second        // between two pings to seeds and dead members
+	startTime          = 5 * time.Second        // after the first list of nodes in which this node pings seeds more often
 	syncInterval       = 3 * time.Second        // between two full exchanges with one member
 	digestSettleTime   = 2 * time.Second        // time after a change in which digests may differ because updates are in transit
 	deadTTL            = 2 * time.Hour          // time after which a dead member is forgotten
@@ -75,6 +76,7 @@
 	self            *wire.Member
 	peers           map[string]Peer         // known members including this node, by id
 	seeds           []*wire.Member          // nodes of the last kernel.HostsListed
+	seedsAt         time.Time               // of the first list of nodes with another one; zero before
 	probes          map[string]probe        // unanswered probes, by member
 	relayed         map[uint64]relayedProbe // unanswered probes on behalf of others, by sequence number
 	updates         []*wire.Member          // changed records, to be sent at the next Tick
--- a/member/step.go
+++ b/member/step.go
@@ -36,6 +36,9 @@
 	case kernel.HostsListed:
 		d := v.draft(now, s.Config.Seed)
 		d.seeds = e.Nodes
+		if d.seedsAt.IsZero() && slices.ContainsFunc(e.Nodes, func(m *wire.Member) bool { return m.GetId() != d.self.GetId() }) {
+			d.seedsAt = now
+		}
 		return d.finish()
 	case kernel.Stopping:
 		d := v.draft(now, s.Config.Seed)
@@ -195,9 +198,10 @@
 }
 
 // currentJoinInterval returns the time between two pings to seeds and dead
-// members. It is shorter for a node without neighbours.
+// members. It is shorter for a node without neighbours, and for one that has just started: if
+// several start at once, each may have found only others that know no more than itself.
 func (d *draft) currentJoinInterval() time.Duration {
-	if len(d.neighbours) == 0 {
+	if len(d.neighbours) == 0 || d.now.Sub(d.seedsAt) < startTime {
 		return probeInterval / 2
 	}
 	return joinInterval
@@ -359,7 +363,10 @@
 		target = a.GetAbout()
 	}
 	delete(d.probes, target)
-	switch suspicion := d.suspicionOf(from); {
+	suspicion, missing := d.suspicionOf(from), d.missingFrom(from, a.GetNews())
+	switch {
+	case len(missing) > 0:
+		d.sendPing(from, missing)
 	case d.needsSync(from, a.GetRoster()):
 		d.sendPing(from, d.allMembers())
 	case len(suspicion) > 0:
@@ -367,6 +374,20 @@
 	}
 }
 
+// missingFrom returns the known members that the list of another node lacks; none if news is not
+// its whole list, which has its own record. Without them, two groups of nodes that find each
+// other would learn of some members only when their digests have differed for digestSettleTime.
+func (d *draft) missingFrom(from string, news []*wire.Member) []*wire.Member {
+	listed := map[string]bool{}
+	for _, m := range news {
+		listed[m.GetId()] = true
+	}
+	if !listed[from] {
+		return nil
+	}
+	return slices.DeleteFunc(d.allMembers(), func(m *wire.Member) bool { return listed[m.GetId()] })
+}
+
 // knowsOnlyItself reports whether the sender of a Ping knows no other member: it has just
 // started.
 func knowsOnlyItself(from string, p *wire.Ping) bool {
