--- a/queue/replay_test.go
+++ b/queue/replay_test.go
@@ -29,13 +29,11 @@
 	ends    map[time.Time][]func()
 	waiting [][]queue.Request // by node
 	told    [][]queue.Request // what each node last told the others
-	flow    queue.Flow
-	good    int // requests that got room before their latest start
+	good    int               // requests that got room before their latest start
 	arrived int
 }
 
-// run lets requests arrive at the given multiple of the load that the engines can serve. It
-// returns the rate of requests that got room before their latest start.
+// run lets requests arrive at the given multiple of the load that the engines can serve.
 func (p *replay) run(nodes int, factor float64) {
 	for end := p.now.Add(replayTime); p.now.Before(end); p.now = p.now.Add(replayStep) {
 		for _, free := range p.ends[p.now] {
