Continue streams of unknown version only if the store names a sole one

Callers whose streams had broken off when all nodes ended could get the rest from another software version than the first part, with status 200. Cause: a node that has just started has listed the endpoints for a moment only, and took the version listed then for the only one that has ever served.

Readers of the store now keep a record of the versions of each service that resumable routes name: which are listed, since when one is the only one, and the era of the store. A node that has not listed a single version for two minutes itself reads the record before it continues such a stream, and rejects the stream as not run if the record names no sole version. A record of an earlier era counts only after a node that has run all along has confirmed it. A deployment with one version since its first start goes on as before; one write per service and change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -166,7 +166,10 @@
 	MaxFillBackup float64       // fraction of an engine's memory up to which it takes backups of generations on other engines; 0 for none
 	BodyMemory    int64         // bytes of all responses that are read whole at the same time; 0 for a default
 	AddressTTL    time.Duration // how long callers may use a list of entry hosts
-	StoreFailing  func() bool   // reports whether this node's reads of the store fail at present; nil for never
+	// SoleVersion returns the software version that has begun all streams of a service which may
+	// still run, and whether the platform's store says that there is only one. nil: it never does.
+	SoleVersion  func(ctx context.Context, service string) (string, bool)
+	StoreFailing func() bool // reports whether this node's reads of the store fail at present; nil for never
 }
 
 // Server serves the requests of one node.
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -23,7 +23,10 @@
 	ctx, cancel := context.WithTimeout(g.ctx, originTimeout)
 	defer cancel()
 	origin := s.cfg.Daemon.FindOrigin(ctx, rr.req.ResumedID)
-	svc, version, err := resumePoint(time.Now(), s.view(), rr, origin)
+	if !origin.Known {
+		origin = s.soleOrigin(ctx, time.Now(), rr.service.Name)
+	}
+	svc, version, err := resumePoint(s.view(), rr, origin)
 	if err != nil {
 		return err.WithRetryAfter(s.addJitter(unavailableRetryAfter))
 	}
@@ -31,17 +34,25 @@
 	return nil
 }
 
+// soleOrigin returns the origin of a stream that no node knows, if only one version of the service
+// can have begun it. Load pattern: after all nodes have ended, every caller whose stream broke comes
+// back to a node that has listed the endpoints for a moment only, while the endpoints of the version
+// that began the stream may have left. So such a node asks the store.
+func (s *Server) soleOrigin(ctx context.Context, now time.Time, service string) kernel.OriginFound {
+	version, sole := s.view().SoleVersion(now, service)
+	if !sole && s.cfg.SoleVersion != nil {
+		version, sole = s.cfg.SoleVersion(ctx, service)
+	}
+	return kernel.OriginFound{Known: sole, Service: service, Version: version}
+}
+
 // resumePoint returns the service and the software version at which a stream goes on that
 // its caller takes up again, or an error if there is none. Load pattern: during a release,
 // callers of nodes and engines that end come back to nodes that have not seen their streams,
 // and most engines run another version than those that began them.
-func resumePoint(now time.Time, view *fleet.View, rr *routedRequest, origin kernel.OriginFound) (*table.Service, string, *apierr.Error) {
+func resumePoint(view *fleet.View, rr *routedRequest, origin kernel.OriginFound) (*table.Service, string, *apierr.Error) {
 	if !origin.Known {
-		version, sole := view.SoleVersion(now, rr.service.Name)
-		if !sole {
-			return nil, "", apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "it is not known which version of %q began the stream", rr.service.Name)
-		}
-		return rr.service, version, nil
+		return nil, "", apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "it is not known which version of %q began the stream", rr.service.Name)
 	}
 	if origin.Service == rr.service.Name {
 		return rr.service, origin.Version, nil
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/plantaindeck/plantaindeck/fleet"
@@ -13,7 +12,7 @@
 // TestResumePoint replays callers that come back during a release, when one engine of two
 // runs another version, and after the route has changed.
 func TestResumePoint(t *testing.T) {
-	mixed, single := fleet.Of(startNetwork(t, 4, 2).State(0)), fleet.Of(startNetwork(t, 4, 1).State(0))
+	mixed := fleet.Of(startNetwork(t, 4, 2).State(0))
 	model, other := table.Share{Service: "model", Weight: 1}, table.Share{Service: "other", Weight: 1}
 	for name, test := range map[string]struct {
 		view    *fleet.View
@@ -24,14 +23,13 @@
 	}{
 		"known":                             {mixed, "model", []table.Share{model}, kernel.OriginFound{Known: true, Service: "model", Version: "v1"}, "v1"},
 		"known, no longer listed":           {mixed, "model", []table.Share{model}, kernel.OriginFound{Known: true, Service: "model", Version: "v0"}, "v0"},
-		"unknown, two versions":             {mixed, "model", []table.Share{model}, kernel.OriginFound{}, ""},
-		"unknown, one version":              {single, "model", []table.Share{model}, kernel.OriginFound{}, "v2"},
+		"unknown":                           {mixed, "model", []table.Share{model}, kernel.OriginFound{}, ""},
 		"another service of the route":      {mixed, "other", []table.Share{other, model}, kernel.OriginFound{Known: true, Service: "model", Version: "v1"}, "v1"},
 		"a service that the route has lost": {mixed, "other", []table.Share{other}, kernel.OriginFound{Known: true, Service: "model", Version: "v1"}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rr := &routedRequest{req: &Request{}, route: &table.Route{Name: "r", Shares: test.shares}, service: &table.Service{Name: test.service}}
-			svc, version, err := resumePoint(time.Now(), test.view, rr, test.origin)
+			svc, version, err := resumePoint(test.view, rr, test.origin)
 			qt.Assert(t, version, qt.Equals, test.want)
 			qt.Assert(t, err == nil, qt.Equals, test.want != "")
 			if err == nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed watches the platform's store and posts what it holds to the
 // kernel: the routing table, the endpoints, the other nodes and the quarantines. It also
-// keeps this node's own record and quarantines in the store.
+// keeps this node's own record, quarantines and the versions of services in the store.
 //
 // Only a few nodes watch the store (fleet.ReadsStore); the others learn of changes
 // from them by gossip. Endpoints whose records expire around an outage of the
@@ -82,6 +82,9 @@
 	// Cold holds the excess and the slack of the requests to cold endpoints, which become part of
 	// the table. An excess of 0 stands for the defaults of both.
 	Cold table.ColdBound
+	// FirstStart says that the nodes of the deployment have been started for the first time, so
+	// that no stream has been begun before.
+	FirstStart bool
 }
 
 // Feed watches the store for one node.
@@ -95,11 +98,12 @@
 	recordWritten bool                     // this node's record may be in the store; used by Register only
 	failing       atomic.Bool              // the last list or watch failed
 	saver         *saver
+	versions      *versionKeeper
 }
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver()}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver(), versions: newVersionKeeper()}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
@@ -137,6 +141,7 @@
 			at, err = f.list(ctx, stale)
 			stale = false
 		}
+		f.versions.wake()
 		f.postHeldRemovals(ctx, time.Now())
 		f.postLapsedEvacuations(ctx, time.Now())
 		var historyLost *store.CompactedError
@@ -242,6 +247,9 @@
 	learned := kernel.ItemsLearned{Complete: listed}
 	nodesChanged := false
 	var read kernel.QuarantinesRead
+	if listed {
+		f.versions.reset()
+	}
 	for _, e := range r.Entries {
 		if q, ok := f.decodeQuarantine(e); ok {
 			if q != nil {
@@ -249,6 +257,12 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(e.Key, versionPrefix) {
+			if err := f.versions.read(e, r.Era); err != nil {
+				f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
+			}
+			continue
+		}
 		if strings.HasPrefix(e.Key, nodePrefix) {
 			f.updateNode(e)
 			nodesChanged = true
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -55,6 +55,13 @@
 	return now.Sub(v.coveredAt(m, nodes, rank)) >= wait
 }
 
+// ReaderRank returns the place of this node in the order in which nodes become readers of the
+// store, from 0 on.
+func ReaderRank(s kernel.State) int {
+	m := member.Of(s)
+	return owner.Rank(readerKey, m.Self().GetId(), m.UsableIDs())
+}
+
 // ReadDelay returns how long this node waits after a watch of the store has returned before
 // it begins the next one, so that the next returns several changes at once.
 //
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -91,6 +91,7 @@
 			next.refreshEndpoint(strings.TrimPrefix(item.GetName(), endpointPrefix))
 		}
 	}
+	next.recordVersions(now)
 	if len(next.cold) > 0 {
 		next.divideLimits(now, m) // a node that waited for the next Tick could send too much before
 	}
@@ -316,7 +317,6 @@
 		next.expireReports(now)
 		next.expireLimits(now)
 		next.expireCold(now)
-		next.recordMixed(now)
 		for _, id := range m.Neighbours() {
 			effects = append(effects, next.sendItems(id, nil))
 		}
--- a/fleet/version.go
+++ b/fleet/version.go
@@ -1,37 +1,135 @@
 package fleet
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/kernel"
 )
 
-// versionMemory is the time for which a stream may go on that a version began which is no
-// longer listed.
-const versionMemory = 2 * time.Minute
+const (
+	// versionMemory is the time for which a stream may go on that a version began which is no
+	// longer listed.
+	versionMemory = 2 * time.Minute
+	// clockTolerance is how far the times of day of two nodes may be apart before one of them
+	// writes a VersionRecord again that the other has written.
+	clockTolerance = 10 * time.Second
+)
+
+// listedVersions says which software versions of a service this node has listed since it started.
+type listedVersions struct {
+	versions  []string  // listed now, or before the last endpoint was removed; sorted
+	listedAt  time.Time // when the first endpoint was listed
+	changedAt time.Time // when versions last changed; zero if it never did
+}
 
 // SoleVersion returns the software version that all endpoints of a service run, and
-// whether only one has been listed here for versionMemory.
+// whether this node has listed no other for versionMemory.
 func (v *View) SoleVersion(now time.Time, service string) (string, bool) {
-	list := v.services[service]
-	at, mixed := v.mixedAt[service]
-	if len(list) == 0 || isMixed(list) || mixed && now.Sub(at) < versionMemory {
+	l := v.versions[service]
+	since := l.listedAt
+	if l.changedAt.After(since) {
+		since = l.changedAt
+	}
+	if len(v.services[service]) == 0 || len(l.versions) != 1 || now.Sub(since) < versionMemory {
 		return "", false
 	}
-	return list[0].Version, true
+	return l.versions[0], true
 }
 
-func isMixed(list []Endpoint) bool {
-	return slices.ContainsFunc(list, func(e Endpoint) bool { return e.Version != list[0].Version })
+// recordVersions records which versions of each service are listed now.
+func (v *View) recordVersions(now time.Time) {
+	for service, list := range v.services {
+		old, known := v.versions[service]
+		versions := distinctVersions(list)
+		if len(list) == 0 || slices.Equal(versions, old.versions) {
+			continue
+		}
+		next := listedVersions{versions: versions, listedAt: now}
+		if known {
+			next.listedAt, next.changedAt = old.listedAt, now
+		}
+		v.versions = kernel.CloneMap(v.versions)
+		v.versions[service] = next
+	}
 }
 
-// recordMixed records which services have endpoints of more than one version now.
-func (v *View) recordMixed(now time.Time) {
-	for service, list := range v.services {
-		if isMixed(list) {
-			v.mixedAt = kernel.CloneMap(v.mixedAt)
-			v.mixedAt[service] = now
+// distinctVersions returns the distinct versions of endpoints, sorted.
+func distinctVersions(list []Endpoint) []string {
+	var versions []string
+	for _, e := range list {
+		if i, found := slices.BinarySearch(versions, e.Version); !found {
+			versions = slices.Insert(versions, i, e.Version)
+		}
+	}
+	return versions
+}
+
+// VersionRecord says which software versions of a service have been in use. It is kept in the
+// platform's store, where it outlives all nodes. A node that has just started decides by it
+// whether a stream of unknown version may go on.
+type VersionRecord struct {
+	Versions []string `json:"versions"` // listed when the record was written; sorted
+	Since    int64    `json:"since"`    // Unix milliseconds; no other versions have been listed from then on. 0: since the first start of the deployment
+	Era      int64    `json:"era"`      // of the store when the record was written; a later era may lack a newer record
+}
+
+// DecodeVersionRecord decodes the JSON form of a VersionRecord.
+func DecodeVersionRecord(data []byte) (VersionRecord, error) {
+	var r VersionRecord
+	err := json.Unmarshal(data, &r)
+	return r, err
+}
+
+// SoleVersion returns the only version of the record, and whether no stream that still runs can
+// have been begun by another version, if the store is in the given era.
+func (r VersionRecord) SoleVersion(now time.Time, era int64) (string, bool) {
+	if r.Era != era || len(r.Versions) != 1 || r.Since != 0 && now.UnixMilli()-r.Since < versionMemory.Milliseconds() {
+		return "", false
+	}
+	return r.Versions[0], true
+}
+
+// KnownVersions is what a node knows of the versions of a service besides its own list.
+type KnownVersions struct {
+	Stored  *VersionRecord // the record in the store; nil for none
+	Trusted *VersionRecord // the last record that this node has read in the era in which it was written; nil for none
+	Era     int64          // of the store now
+	// FirstStart says that the nodes of the deployment have been started for the first time.
+	FirstStart bool
+}
+
+// NextVersionRecord returns the record that the store must hold of a service, and whether the one
+// that it holds must be replaced. If certain is false, this node does not know whether the
+// listed version has been the only one: another node may know better.
+//
+// Load pattern: in a release, versions change twice for each service, and then all nodes may end
+// while the former version leaves. So each change is written, and what was written in an
+// earlier era of the store counts only if a node confirms it.
+func (v *View) NextVersionRecord(now time.Time, service string, known KnownVersions) (r VersionRecord, due, certain bool) {
+	listed := v.versions[service]
+	if len(v.services[service]) == 0 {
+		return VersionRecord{}, false, false
+	}
+	r = VersionRecord{Versions: listed.versions, Since: now.UnixMilli(), Era: known.Era}
+	stored := known.Stored
+	valid := stored != nil && stored.Era == known.Era
+	if len(r.Versions) > 1 {
+		return r, !valid || !slices.Equal(stored.Versions, r.Versions), true
+	}
+	switch {
+	case known.Trusted != nil:
+		if slices.Equal(known.Trusted.Versions, r.Versions) {
+			r.Since = known.Trusted.Since
 		}
+		certain = true
+	case stored == nil && known.FirstStart && now.Sub(v.startedAt) < versionMemory:
+		r.Since, certain = 0, true
+	}
+	if !listed.changedAt.IsZero() {
+		r.Since = max(r.Since, listed.changedAt.UnixMilli())
 	}
+	due = !valid || !slices.Equal(stored.Versions, r.Versions) || r.Since-stored.Since > clockTolerance.Milliseconds()
+	return r, due, certain
 }
--- a/table/table.go
+++ b/table/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 )
@@ -154,6 +155,8 @@
 	services map[string]*Service
 	keys     map[keyHash]*Workspace
 	urgent   map[string]Urgent // by service
+	// resumable holds the names of the services of resumable routes, sorted.
+	resumable []string
 }
 
 // New returns the table that cfg describes.
@@ -172,6 +175,7 @@
 			t.routes[r.Host] = map[string]*Route{}
 		}
 		t.routes[r.Host][r.Prefix] = r
+		t.addResumable(r)
 	}
 	for i := range cfg.Services {
 		t.services[cfg.Services[i].Name] = &cfg.Services[i]
@@ -185,6 +189,21 @@
 	return t
 }
 
+func (t *Table) addResumable(r *Route) {
+	if !r.Resumable {
+		return
+	}
+	for _, sh := range r.Shares {
+		if i, found := slices.BinarySearch(t.resumable, sh.Service); !found {
+			t.resumable = slices.Insert(t.resumable, i, sh.Service)
+		}
+	}
+}
+
+// ResumableServices returns the sorted names of the services whose streams a caller may take up
+// again. The caller must not change the slice.
+func (t *Table) ResumableServices() []string { return t.resumable }
+
 // Version returns the table's version.
 func (t *Table) Version() int64 { return t.version }
 
