Copy generations beyond the plan of an evacuation if the copies fit

The plan counts all remote requests, of which many are short, so that the link is often free before the final copies.

--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -224,6 +224,7 @@
 		HasBackup:   listed && !backup.Leaving && s.usage.closedFor(now, view, backup) == 0,
 		Copyable:    seg.copyable && s.usage.closedForCopies(now, view, seg.endpoint) == 0,
 		Planned:     seg.planned,
+		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
 		CopyTime:    g.copyCandidate().CopyTime,
 	}
 	state.Remaining = move.RemainingTime(seg.events, max(seg.expectedEvents-seg.eventsBefore, 0), now.Sub(seg.firstEventAt))
--- a/move/move.go
+++ b/move/move.go
@@ -36,6 +36,10 @@
 	// the engine's link: final ones that begin before the long first ones have
 	// passed wait behind them while their generations are stopped.
 	finalCopyDeadline = 1200 * time.Millisecond
+	// Generations that PlanCopies did not choose are copied from lateCopyBegin to
+	// lateCopyEnd after the notice, if the copies still fit.
+	lateCopyBegin = 700 * time.Millisecond
+	lateCopyEnd   = 1100 * time.Millisecond
 	// idleCopyTime is the longest time that a copy of a few tokens takes on links without
 	// other copies.
 	idleCopyTime = 40 * time.Millisecond
@@ -68,6 +72,7 @@
 	HasBackup    bool          // the engine that keeps a copy is listed and not leaving
 	Copyable     bool          // its engine can copy it
 	Planned      bool          // PlanCopies chose it
+	LateCopyAt   time.Duration // time since the notice from which it is copied although PlanCopies did not choose it
 	CopyTime     time.Duration // time that its first copy takes on the engine's link; 0 if unknown
 	FailedCopies int           // copies that have failed since the notice
 }
@@ -98,9 +103,9 @@
 func (Wait) isAction()   {}
 
 // Decide returns what to do with a generation. It stays if it is about to end.
-// Otherwise it switches to a backup that holds the prompt, or else is copied if PlanCopies
-// chose it. If neither is possible, the decision waits until the notice period is over,
-// and then the generation stays.
+// Otherwise it switches to a backup that holds the prompt, or else is copied, later if
+// PlanCopies did not choose it. If neither is possible, the decision waits until the
+// notice period is over, and then the generation stays.
 func Decide(g Generation) Action {
 	remaining := NoticePeriod - g.SinceNotice
 	switch {
@@ -108,7 +113,7 @@
 		return Stay{}
 	case g.Events > 0 && g.HasBackup && g.Age >= minBackupAge:
 		return Switch{}
-	case g.Events > 0 && g.Copyable && g.Planned && g.FailedCopies < maxCopyAttempts && FirstCopyFits(g.SinceNotice, g.CopyTime):
+	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && FirstCopyFits(g.SinceNotice, g.CopyTime):
 		return Copy{}
 	case remaining > 0:
 		return Wait{For: decideInterval}
@@ -116,6 +121,14 @@
 	return Stay{}
 }
 
+// LateCopyTime returns the time since the notice from which a generation is copied that
+// PlanCopies did not choose: by then the chosen copies have mostly passed, since the plan
+// counts all remote requests, of which many are short. The fraction, random in [0, 1),
+// spreads the generations of an engine.
+func LateCopyTime(fraction float64) time.Duration {
+	return lateCopyBegin + time.Duration(fraction*float64(lateCopyEnd-lateCopyBegin))
+}
+
 // FirstCopyFits reports whether a first copy that begins now and takes the given time may
 // begin. Load pattern: copies pass an engine's link one after another, so that a long first
 // copy which still passes when the final copies begin delays them until the engine is gone,
