--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -39,16 +39,9 @@
 	finalCopyFraction float64       // in [0, 1): spreads the final copies of the engine's generations over the rest of the notice period
 	copyable          bool          // its engine can copy it
 	planned           bool          // the plan of the evacuation chose it
-	link              *sourceLink   // of its engine; nil unless evacuating
 	ended             bool
 }
 
-// sourceLink is what this node knows of the link of a leaving engine. It is guarded by the
-// server's mutex.
-type sourceLink struct {
-	observed time.Duration // by how much longer the last first copy took than it does alone; -1 if there was none
-}
-
 // destination is the engine on which a generation continues from a copy of its
 // KV cache. No field changes any more once done is closed.
 type destination struct {
@@ -152,45 +145,19 @@
 	candidates := make([]move.CopyCandidate, len(list))
 	for i, g := range list {
 		candidates[i] = g.copyCandidate()
-		candidates[i].CopyTime += time.Duration(s.farShare(now, g) * float64((farCopyFactor-1)*candidates[i].CopyTime))
 	}
-	link := &sourceLink{observed: -1}
 	firstCopiesTime := move.FirstCopiesTime(candidates, remoteRequests, sinceNotice)
 	chosen := move.PlanCopies(candidates, remoteRequests, sinceNotice, s.rand.Float64())
 	for i, g := range list {
 		seg := g.current
 		seg.evacuating = true
 		seg.firstCopiesTime, seg.finalCopyFraction = firstCopiesTime, s.rand.Float64()
-		seg.planned, seg.link = chosen[i], link
+		seg.planned = chosen[i]
 		seg.copyable = g.routed.service.Engine != nil && g.routed.service.Engine.SupportsMigration
 		s.tasks.Go(func() { s.evacuateGeneration(g, seg, noticedAt) })
 	}
 }
 
-// farShare returns the part of the generations on the leaving engines of a data centre that must
-// move to another one. The mutex is held.
-func (s *Server) farShare(now time.Time, g *generation) float64 {
-	e := g.current.endpoint
-	svc := g.routed.service
-	if svc.Engine == nil {
-		return 0
-	}
-	view, tokens, free := s.view(), 0, 0
-	for _, other := range view.Endpoints(svc.Name) {
-		if other.Centre != e.Centre {
-			continue
-		}
-		c := s.candidate(now, view, svc, other, e.Centre)
-		switch {
-		case other.Leaving || other.ID == e.ID:
-			tokens += c.Tokens
-		case other.Version == e.Version:
-			free += int(place.MaxFillNew*float64(c.Memory)) - c.Tokens
-		}
-	}
-	return move.FarShare(tokens, free)
-}
-
 // copyCandidate describes the generation for the plan of an evacuation. Its copy
 // grows with the prompt and the tokens generated so far. The mutex is held.
 func (g *generation) copyCandidate() move.CopyCandidate {
@@ -259,7 +226,6 @@
 		Planned:     seg.planned,
 		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
 		CopyTime:    g.copyCandidate().CopyTime,
-		LinkDelay:   move.LinkDelay(seg.link.observed, seg.firstCopiesTime, now.Sub(noticedAt)),
 	}
 	state.Remaining = move.RemainingTime(seg.events, max(seg.expectedEvents-seg.eventsBefore, 0), now.Sub(seg.firstEventAt))
 	return state, false
@@ -380,12 +346,8 @@
 // copyRunning makes the first copy of a generation while it runs, waits until the time for
 // its final copy has come, and returns the copy. It reports false if the copy failed.
 func (s *Server) copyRunning(ctx context.Context, g *generation, seg *segment, target fleet.Endpoint, noticedAt time.Time) (CacheCopy, bool) {
-	began := time.Now()
 	first, err := s.cfg.Dialect.Copy(ctx, seg.endpoint.Addr, target.Addr, g.routed.req.ID, false)
 	s.heedNotice(time.Now(), seg.endpoint, refusalNotice(err))
-	if err == nil {
-		s.observeLink(g, seg, target, time.Since(began))
-	}
 	if err != nil {
 		if g.ctx.Err() == nil {
 			s.metrics.recordEvacuation("copy-failed")
@@ -399,20 +361,6 @@
 	return first, true
 }
 
-// observeLink records how long a first copy took.
-func (s *Server) observeLink(g *generation, seg *segment, target fleet.Endpoint, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if seg.ended {
-		return
-	}
-	alone := g.copyCandidate().CopyTime
-	if target.Centre != seg.endpoint.Centre {
-		alone *= farCopyFactor
-	}
-	seg.link.observed = max(took-alone, 0)
-}
-
 // awaitRetryBudget counts the continuation of a generation on another engine as a retry,
 // and waits until the budget allows it or the time for the final copy has passed. It must
 // be allowed before the generation is stopped.
--- a/move/move.go
+++ b/move/move.go
@@ -74,7 +74,6 @@
 	Planned      bool          // PlanCopies chose it
 	LateCopyAt   time.Duration // time since the notice from which it is copied although PlanCopies did not choose it
 	CopyTime     time.Duration // time that its first copy takes on the engine's link; 0 if unknown
-	LinkDelay    time.Duration // time for which a copy that begins now waits behind others on that link
 	FailedCopies int           // copies that have failed since the notice
 }
 
@@ -114,7 +113,7 @@
 		return Stay{}
 	case g.Events > 0 && g.HasBackup && g.Age >= minBackupAge:
 		return Switch{}
-	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && FirstCopyFits(g.SinceNotice, g.waitsForLink()+g.CopyTime):
+	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && FirstCopyFits(g.SinceNotice, g.CopyTime):
 		return Copy{}
 	case remaining > 0:
 		return Wait{For: decideInterval}
@@ -122,36 +121,6 @@
 	return Stay{}
 }
 
-// waitsForLink returns the LinkDelay of a generation beyond the plan. The plan has counted the
-// copies that it chose.
-func (g Generation) waitsForLink() time.Duration {
-	if g.Planned && g.FailedCopies == 0 {
-		return 0
-	}
-	return g.LinkDelay
-}
-
-// LinkDelay returns how long a copy that begins now is expected to wait on the link of a leaving
-// engine. If this node has seen a first copy complete there, observed is by how much longer that
-// took than the copy alone; it is negative if it has not. Load pattern: without an observation,
-// the link is taken to be busy until the first copies have passed for which it has room.
-func LinkDelay(observed, firstCopies, sinceNotice time.Duration) time.Duration {
-	if observed >= 0 {
-		return observed
-	}
-	return max(firstCopies-sinceNotice, 0)
-}
-
-// FarShare returns the part of the generations on leaving engines of one data centre, which hold
-// the given tokens, that must move to another one, as the engines that stay have only so many
-// tokens free.
-func FarShare(tokens, free int) float64 {
-	if tokens <= 0 {
-		return 0
-	}
-	return 1 - min(float64(max(free, 0))/float64(tokens), 1)
-}
-
 // LateCopyTime returns the time since the notice from which a generation is copied that
 // PlanCopies did not choose: by then the chosen copies have mostly passed, since the plan
 // counts all remote requests, of which many are short. The fraction, random in [0, 1),
