--- a/feed/quarantine.go
+++ b/feed/quarantine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/plantaindeck/plantaindeck/kernel"
@@ -82,21 +83,29 @@
 
 // SaveAll writes to the store what Save has been given, until ctx ends.
 func (f *Feed) SaveAll(ctx context.Context) <-chan error {
+	return f.saveUntil(ctx, f.saver.changed, nil, f.savePending)
+}
+
+// saveUntil calls save when one of the channels has a value, until ctx ends. If save fails, it
+// is called again after a backoff.
+func (f *Feed) saveUntil(ctx context.Context, changed <-chan struct{}, due <-chan time.Time, save func(ctx context.Context) error) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		backoff := minRetryBackoff
 		for ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
-			case <-f.saver.changed:
-				if err := f.savePending(ctx); err != nil {
-					f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
-					wait.For(ctx, backoff)
-					backoff = min(2*backoff, maxRetryBackoff)
-					continue
-				}
-				backoff = minRetryBackoff
+				continue
+			case <-changed:
+			case <-due:
+			}
+			err := save(ctx)
+			for ; err != nil && ctx.Err() == nil; err = save(ctx) {
+				f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
+				wait.For(ctx, backoff)
+				backoff = min(2*backoff, maxRetryBackoff)
 			}
+			backoff = minRetryBackoff
 		}
 		done <- nil
 	}()
--- a/feed/version.go
+++ b/feed/version.go
@@ -12,7 +12,6 @@
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
-	"github.com/plantaindeck/plantaindeck/wait"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -111,26 +110,9 @@
 // KeepVersions keeps the records of versions in the store up to date while this node reads the
 // store, until ctx ends.
 func (f *Feed) KeepVersions(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		backoff := minRetryBackoff
-		for ctx.Err() == nil {
-			select {
-			case <-ctx.Done():
-			case <-f.versions.changed:
-			case <-time.After(versionCheckInterval):
-			}
-			if err := f.writeVersions(ctx, time.Now()); err != nil {
-				f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
-				wait.For(ctx, backoff)
-				backoff = min(2*backoff, maxRetryBackoff)
-				continue
-			}
-			backoff = minRetryBackoff
-		}
-		done <- nil
-	}()
-	return done
+	check := time.NewTicker(versionCheckInterval)
+	context.AfterFunc(ctx, check.Stop)
+	return f.saveUntil(ctx, f.versions.changed, check.C, func(ctx context.Context) error { return f.writeVersions(ctx, time.Now()) })
 }
 
 // versionWrite replaces the record of a service.
