--- a/fleet/version.go
+++ b/fleet/version.go
@@ -66,6 +66,11 @@
 	return versions
 }
 
+// wallMillis returns the time of day in Unix milliseconds. A record outlives the processes whose
+// monotonic clocks could be compared. A clock that jumps forward shortens versionMemory, which is
+// over a minute longer than streams last; one that jumps back lengthens it.
+func wallMillis(t time.Time) int64 { return t.UnixMilli() }
+
 // VersionRecord says which software versions of a service have been in use. It is kept in the
 // platform's store, where it outlives all nodes. A node that has just started decides by it
 // whether a stream of unknown version may go on.
@@ -85,7 +90,7 @@
 // SoleVersion returns the only version of the record, and whether no stream that still runs can
 // have been begun by another version, if the store is in the given era.
 func (r VersionRecord) SoleVersion(now time.Time, era int64) (string, bool) {
-	if r.Era != era || len(r.Versions) != 1 || r.Since != 0 && now.UnixMilli()-r.Since < versionMemory.Milliseconds() {
+	if r.Era != era || len(r.Versions) != 1 || r.Since != 0 && wallMillis(now)-r.Since < versionMemory.Milliseconds() {
 		return "", false
 	}
 	return r.Versions[0], true
@@ -112,7 +117,7 @@
 	if len(v.services[service]) == 0 {
 		return VersionRecord{}, false, false
 	}
-	r = VersionRecord{Versions: listed.versions, Since: now.UnixMilli(), Era: known.Era}
+	r = VersionRecord{Versions: listed.versions, Since: wallMillis(now), Era: known.Era}
 	stored := known.Stored
 	valid := stored != nil && stored.Era == known.Era
 	if len(r.Versions) > 1 {
@@ -128,7 +133,7 @@
 		r.Since, certain = 0, true
 	}
 	if !listed.changedAt.IsZero() {
-		r.Since = max(r.Since, listed.changedAt.UnixMilli())
+		r.Since = max(r.Since, wallMillis(listed.changedAt))
 	}
 	due = !valid || !slices.Equal(stored.Versions, r.Versions) || r.Since-stored.Since > clockTolerance.Milliseconds()
 	return r, due, certain
--- a/fleet/version_test.go
+++ b/fleet/version_test.go
@@ -157,3 +157,20 @@
 		l.assertNext(KnownVersions{Stored: &always, Trusted: &released, Era: 1}, VersionRecord{Versions: v1, Since: 7000, Era: 1}, true, true)
 	})
 }
+
+// TestRecordWithClockJumps guards against a stream that is joined to another version's because the
+// time of day has jumped between the writing of the record and its reading.
+func TestRecordWithClockJumps(t *testing.T) {
+	const (
+		longestStream = time.Minute      // as records of the origins of streams are kept
+		longestJump   = 30 * time.Second // the platform states seconds
+	)
+	now := time.Unix(100_000, 0)
+	for _, jump := range []time.Duration{-longestJump, 0, longestJump} {
+		record := VersionRecord{Versions: []string{"v2"}, Since: now.UnixMilli()}
+		_, sole := record.SoleVersion(now.Add(longestStream+jump), 0)
+		qt.Assert(t, sole, qt.IsFalse, qt.Commentf("jump of %s", jump))
+		_, sole = record.SoleVersion(now.Add(versionMemory+longestJump+jump), 0)
+		qt.Assert(t, sole, qt.IsTrue, qt.Commentf("jump of %s", jump))
+	}
+}
