Keep the decision on records of versions apart from the store

The keeper of the records is an immutable value of package fleet with pure steps; package feed reads and writes the store. The replay at 4, 27 and 100 nodes needs no simulated network; it has all cases of the former tests, and one of a restarted node that must not write before those that know.

--- a/entry/resume.go
+++ b/entry/resume.go
@@ -24,7 +24,7 @@
 	defer cancel()
 	origin := s.cfg.Daemon.FindOrigin(ctx, rr.req.ResumedID)
 	if !origin.Known {
-		origin = s.soleOrigin(ctx, rr.service.Name)
+		origin = s.soleOrigin(ctx, time.Now(), rr.service.Name)
 	}
 	svc, version, err := resumePoint(s.view(), rr, origin)
 	if err != nil {
@@ -37,9 +37,9 @@
 // soleOrigin returns the origin of a stream that no node knows, if only one version of the service
 // can have begun it. Load pattern: after all nodes have ended, every caller whose stream broke comes
 // back to a node that has listed the endpoints for a moment only, while the endpoints of the version
-// that began the stream may have left. So the node asks the store.
-func (s *Server) soleOrigin(ctx context.Context, service string) kernel.OriginFound {
-	if s.cfg.SoleVersion == nil {
+// that began the stream may have left. So the node asks the store, unless that is known to be silent.
+func (s *Server) soleOrigin(ctx context.Context, now time.Time, service string) kernel.OriginFound {
+	if s.cfg.SoleVersion == nil || fleet.StoreSilent(s.cfg.Daemon.State(), now) {
 		return kernel.OriginFound{}
 	}
 	version, sole := s.cfg.SoleVersion(ctx, service)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -98,12 +98,12 @@
 	recordWritten bool                     // this node's record may be in the store; used by Register only
 	failing       atomic.Bool              // the last list or watch failed
 	saver         *saver
-	versions      *versionKeeper
+	versions      *versions
 }
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver(), versions: newVersionKeeper()}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver(), versions: newVersions(cfg.FirstStart)}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
@@ -247,8 +247,7 @@
 	learned := kernel.ItemsLearned{Complete: listed}
 	nodesChanged := false
 	var read kernel.QuarantinesRead
-	now := time.Now()
-	f.versions.begin(now, r.Era, listed)
+	versions := versionsRead{era: r.Era, listed: listed}
 	for _, e := range r.Entries {
 		if q, ok := f.decodeQuarantine(e); ok {
 			if q != nil {
@@ -257,9 +256,7 @@
 			continue
 		}
 		if strings.HasPrefix(e.Key, versionPrefix) {
-			if err := f.versions.read(e, r.Era); err != nil {
-				f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
-			}
+			versions.records = append(versions.records, e)
 			continue
 		}
 		if strings.HasPrefix(e.Key, nodePrefix) {
@@ -270,9 +267,7 @@
 		change := f.cfg.Decode(e)
 		if c, ok := change.(Endpoint); ok {
 			present[c.ID] = true
-			if !c.Removed {
-				f.versions.see(now, c.Record.Service, c.Record.Version)
-			}
+			versions.endpoints = append(versions.endpoints, c.Record)
 		}
 		if item := f.wireItem(change, fleet.Version{Era: r.Era, Revision: e.Revision}); item != nil {
 			learned.Items = append(learned.Items, item)
@@ -282,6 +277,7 @@
 		f.cfg.Daemon.Post(ctx, read) // first, as the node serves callers once it has learned all items
 	}
 	f.cfg.Daemon.Post(ctx, learned)
+	f.versions.update(func(k *fleet.VersionKeeper) *fleet.VersionKeeper { return f.readVersions(time.Now(), k, versions) })
 	if nodesChanged {
 		f.postNodes(ctx)
 	}
--- a/feed/version.go
+++ b/feed/version.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/plantaindeck/plantaindeck/fleet"
-	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
 )
@@ -17,122 +16,63 @@
 const (
 	versionPrefix        = "plantaindeck/versions/" // before the name of a service
 	versionCheckInterval = 200 * time.Millisecond   // between checks of whether a record is due, if the store changes nothing
-	versionStagger       = 50 * time.Millisecond    // by which each reader of the store waits longer to write a record than the one ranked before it
-	maxVersionRank       = 10                       // readers from this rank on wait as long as the one of this rank
-	maxReadGap           = 5 * time.Second          // between two reads of the store, within which no version comes and goes: a server serves for seconds after its notice
-	uncertainDelay       = 2 * time.Second          // by which a reader waits longer that does not know whether the listed version was the only one
 )
 
-// storedVersions is the record of a service in the store.
-type storedVersions struct {
-	record   fleet.VersionRecord
-	revision int64 // of its last change
-}
-
-// seenVersion is the version of the endpoint of a service that this node read of last.
-type seenVersion struct {
-	version   string
-	changedAt time.Time // when it last differed from the one before; zero if it never did
-}
-
-// versionKeeper holds what this node has read of versions and their records.
-type versionKeeper struct {
+// versions holds this node's fleet.VersionKeeper.
+type versions struct {
 	changed chan struct{} // holds a value if the store may have changed
-
 	mu      sync.Mutex
-	era     int64                          // of the last read of the store
-	readAt  time.Time                      // when that was
-	stored  map[string]storedVersions      // by service
-	trusted map[string]fleet.VersionRecord // last record that was read in the era in which it was written, by service
-	seen    map[string]seenVersion         // by service
-	due     map[string]time.Time           // since when the record of a service must be replaced
+	keeper  *fleet.VersionKeeper
 }
 
-func newVersionKeeper() *versionKeeper {
-	return &versionKeeper{changed: make(chan struct{}, 1), stored: map[string]storedVersions{}, trusted: map[string]fleet.VersionRecord{}, seen: map[string]seenVersion{}, due: map[string]time.Time{}}
+func newVersions(firstStart bool) *versions {
+	return &versions{changed: make(chan struct{}, 1), keeper: fleet.NewVersionKeeper(firstStart)}
+}
+
+// update replaces the keeper by what change returns for it.
+func (v *versions) update(change func(k *fleet.VersionKeeper) *fleet.VersionKeeper) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.keeper = change(v.keeper)
 }
 
 // wake makes KeepVersions check the records.
-func (k *versionKeeper) wake() {
+func (v *versions) wake() {
 	select {
-	case k.changed <- struct{}{}:
+	case v.changed <- struct{}{}:
 	default:
 	}
 }
 
-// begin begins the reading of a result of the store, which is the whole of its content if listed is
-// true. What was read in an earlier era is no longer trusted after a gap in which versions may
-// have come and gone: a store that was restored from a copy does not tell of them.
-func (k *versionKeeper) begin(now time.Time, era int64, listed bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if listed {
-		clear(k.stored)
-	}
-	if era != k.era && now.Sub(k.readAt) > maxReadGap {
-		clear(k.trusted)
-	}
-	k.era, k.readAt = era, now
-}
-
-// see records that an endpoint of a service runs a version.
-func (k *versionKeeper) see(now time.Time, service, version string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	last, known := k.seen[service]
-	if known && last.version != version {
-		last.changedAt = now
-	}
-	last.version = version
-	k.seen[service] = last
-}
-
-// read reads an entry of the store that holds the record of a service. A record that cannot be
-// decoded is kept as one of no versions, which is replaced.
-func (k *versionKeeper) read(e store.Entry, era int64) error {
-	service := strings.TrimPrefix(e.Key, versionPrefix)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if e.Deleted {
-		delete(k.stored, service)
-		return nil
-	}
-	r, err := fleet.DecodeVersionRecord(e.Value)
-	k.stored[service] = storedVersions{record: r, revision: e.Revision}
-	if err == nil && r.Era == era {
-		k.trusted[service] = r
-	}
-	return err
-}
-
-// known returns what this node knows of the versions of a service, and the revision of the
-// stored record, or 0 for none.
-func (k *versionKeeper) known(service string, era int64, firstStart bool) (fleet.KnownVersions, int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	known := fleet.KnownVersions{Era: era, FirstStart: firstStart, ChangedAt: k.seen[service].changedAt}
-	s, ok := k.stored[service]
-	if ok {
-		known.Stored = &s.record
-	}
-	if r, ok := k.trusted[service]; ok {
-		known.Trusted = &r
-	}
-	return known, s.revision
+// versionsRead is what a result of the store says of versions.
+type versionsRead struct {
+	era       int64
+	listed    bool             // the result is the whole content of the store
+	records   []store.Entry    // records of versions
+	endpoints []fleet.Endpoint // in the order of their changes; a removed one has no service
 }
 
-// dueSince records whether the record of a service must be replaced, and returns since when.
-func (k *versionKeeper) dueSince(now time.Time, service string, due bool) time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !due {
-		delete(k.due, service)
-		return now
+// readVersions returns k after the reading of a result of the store.
+func (f *Feed) readVersions(now time.Time, k *fleet.VersionKeeper, r versionsRead) *fleet.VersionKeeper {
+	k = k.WithRead(now, r.era, r.listed)
+	for _, e := range r.endpoints {
+		if e.Service != "" {
+			k = k.WithEndpoint(now, e.Service, e.Version)
+		}
 	}
-	if _, ok := k.due[service]; !ok {
-		k.due[service] = now
+	for _, e := range r.records {
+		service := strings.TrimPrefix(e.Key, versionPrefix)
+		if e.Deleted {
+			k = k.WithoutRecord(service)
+			continue
+		}
+		record, err := fleet.DecodeVersionRecord(e.Value)
+		if err != nil {
+			f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
+		}
+		k = k.WithRecord(service, record, e.Revision)
 	}
-	return k.due[service]
+	return k
 }
 
 // KeepVersions keeps the records of versions in the store up to date while this node reads the
@@ -143,65 +83,39 @@
 	return f.saveUntil(ctx, f.versions.changed, check.C, func(ctx context.Context) error { return f.writeVersions(ctx, time.Now()) })
 }
 
-// versionWrite replaces the record of a service.
-type versionWrite struct {
-	service  string
-	record   fleet.VersionRecord
-	revision int64 // of the record that it replaces; 0 for none
-}
-
-// dueWrites returns the records that this node writes now, with the store in the given era.
-func (k *versionKeeper) dueWrites(now time.Time, s kernel.State, era int64, firstStart bool) []versionWrite {
-	view := fleet.Of(s)
-	if !view.Ready() || !fleet.ReadsStore(s, now) {
+// writeVersions writes the records that are due.
+func (f *Feed) writeVersions(ctx context.Context, now time.Time) error {
+	state := f.cfg.Daemon.State()
+	if !fleet.Of(state).Ready() || !fleet.ReadsStore(state, now) {
 		return nil
 	}
-	var writes []versionWrite
-	for _, service := range view.Table().ResumableServices() {
-		known, revision := k.known(service, era, firstStart)
-		record, due, certain := view.NextVersionRecord(now, service, known)
-		since := k.dueSince(now, service, due)
-		if due && now.Sub(since) >= versionDelay(fleet.ReaderRank(s), certain) {
-			writes = append(writes, versionWrite{service: service, record: record, revision: revision})
+	var writes []fleet.VersionWrite
+	f.versions.update(func(k *fleet.VersionKeeper) *fleet.VersionKeeper {
+		writes, k = k.Due(now, fleet.Of(state), fleet.ReaderRank(state))
+		return k
+	})
+	for _, w := range writes {
+		if err := f.writeVersion(ctx, w); err != nil {
+			return err
 		}
 	}
-	return writes
-}
-
-// versionDelay returns how long a record is due before the reader of a rank writes it. The delays
-// make one of the readers write it that know most.
-func versionDelay(rank int, certain bool) time.Duration {
-	delay := versionStagger * time.Duration(min(rank, maxVersionRank))
-	if !certain {
-		delay += uncertainDelay
-	}
-	return delay
+	return nil
 }
 
 // writeVersion writes a record, unless the one that it replaces has changed.
-func (f *Feed) writeVersion(ctx context.Context, w versionWrite) error {
-	value, err := json.Marshal(w.record)
+func (f *Feed) writeVersion(ctx context.Context, w fleet.VersionWrite) error {
+	value, err := json.Marshal(w.Record)
 	if err != nil {
 		return err
 	}
-	key := versionPrefix + w.service
-	written, err := f.cfg.Store.Commit(ctx, []store.Condition{{Key: key, Revision: w.revision}}, []store.Write{{Key: key, Value: value}})
+	key := versionPrefix + w.Service
+	written, err := f.cfg.Store.Commit(ctx, []store.Condition{{Key: key, Revision: w.Revision}}, []store.Write{{Key: key, Value: value}})
 	if err == nil && written {
-		f.cfg.Daemon.Record(trace.Entry{Kind: "versions-saved", Detail: fmt.Sprintf("service %s: %s", w.service, value)})
+		f.cfg.Daemon.Record(trace.Entry{Kind: "versions-saved", Detail: fmt.Sprintf("service %s: %s", w.Service, value)})
 	}
 	return err
 }
 
-// writeVersions writes the records that are due.
-func (f *Feed) writeVersions(ctx context.Context, now time.Time) error {
-	for _, w := range f.versions.dueWrites(now, f.cfg.Daemon.State(), f.cfg.Store.Era(), f.cfg.FirstStart) {
-		if err := f.writeVersion(ctx, w); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // SoleVersion returns the software version that has begun all streams of a service which may still
 // run, and whether the store says that there is only one.
 func (f *Feed) SoleVersion(ctx context.Context, service string) (string, bool) {
--- a/fleet/version.go
+++ b/fleet/version.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/plantaindeck/plantaindeck/kernel"
 )
 
 const (
@@ -13,6 +15,10 @@
 	// clockTolerance is how far the times of day of two nodes may be apart before one of them
 	// writes a VersionRecord again that the other has written.
 	clockTolerance = 10 * time.Second
+	versionStagger = 50 * time.Millisecond // by which each reader of the store waits longer to write a record than the one ranked before it
+	maxVersionRank = 10                    // readers from this rank on wait as long as the one of this rank
+	uncertainDelay = 2 * time.Second       // by which a reader waits longer that does not know whether the listed version was the only one
+	maxReadGap     = 5 * time.Second       // between two reads of the store, within which no version comes and goes: a server serves for seconds after its notice
 )
 
 // listedVersions returns the distinct versions of the listed endpoints of a service, sorted.
@@ -56,48 +62,151 @@
 	return r.Versions[0], true
 }
 
-// KnownVersions is what a node knows of the versions of a service besides its own list.
-type KnownVersions struct {
-	Stored  *VersionRecord // the record in the store; nil for none
-	Trusted *VersionRecord // the last record that this node has read in the era in which it was written; nil for none
-	Era     int64          // of the store now
-	// ChangedAt is when this node last read of an endpoint of another version than before; zero if
-	// it never did. The list of endpoints may lack one that has left again.
-	ChangedAt time.Time
-	// FirstStart says that the nodes of the deployment have been started for the first time.
-	FirstStart bool
+// VersionWrite replaces the record of a service in the store.
+type VersionWrite struct {
+	Service  string
+	Record   VersionRecord
+	Revision int64 // of the last change of the record that it replaces; 0 for none
+}
+
+// storedVersions is the record of a service in the store.
+type storedVersions struct {
+	record   VersionRecord
+	revision int64 // of its last change
+}
+
+// seenVersion is the version of the endpoint of a service that a node read of last.
+type seenVersion struct {
+	version   string
+	changedAt time.Time // when it last differed from the one before; zero if it never did
+}
+
+// VersionKeeper is what a reader of the store has read of versions and their records. It is
+// immutable.
+type VersionKeeper struct {
+	firstStart bool                      // the nodes of the deployment have been started for the first time
+	era        int64                     // of the last read of the store
+	readAt     time.Time                 // when that was
+	stored     map[string]storedVersions // by service
+	trusted    map[string]VersionRecord  // last record that was read in the era in which it was written, by service
+	seen       map[string]seenVersion    // by service
+	dueAt      map[string]time.Time      // since when the record of a service must be replaced
+}
+
+// NewVersionKeeper returns the VersionKeeper of a node that has read nothing. The parameter says
+// that the nodes of the deployment have been started for the first time, so that no stream has
+// been begun before.
+func NewVersionKeeper(firstStart bool) *VersionKeeper { return &VersionKeeper{firstStart: firstStart} }
+
+// WithRead returns the keeper at the beginning of a result of the store, which is the whole of its
+// content if listed is true. What was read in an earlier era is no longer trusted after a gap in
+// which versions may have come and gone: a store that was restored from a copy does not tell of them.
+func (k *VersionKeeper) WithRead(now time.Time, era int64, listed bool) *VersionKeeper {
+	next := *k
+	if listed {
+		next.stored = nil
+	}
+	if era != k.era && now.Sub(k.readAt) > maxReadGap {
+		next.trusted = nil
+	}
+	next.era, next.readAt = era, now
+	return &next
+}
+
+// WithRecord returns the keeper after the reading of a record and the revision of its last change. A
+// record without versions is one that could not be decoded, and is replaced.
+func (k *VersionKeeper) WithRecord(service string, r VersionRecord, revision int64) *VersionKeeper {
+	next := *k
+	next.stored = kernel.CloneMap(k.stored)
+	next.stored[service] = storedVersions{record: r, revision: revision}
+	if r.Era == k.era && len(r.Versions) > 0 {
+		next.trusted = kernel.CloneMap(k.trusted)
+		next.trusted[service] = r
+	}
+	return &next
+}
+
+// WithoutRecord returns the keeper after the reading that a record was deleted.
+func (k *VersionKeeper) WithoutRecord(service string) *VersionKeeper {
+	next := *k
+	next.stored = kernel.CloneMap(k.stored)
+	delete(next.stored, service)
+	return &next
+}
+
+// WithEndpoint returns the keeper after the reading of an endpoint.
+func (k *VersionKeeper) WithEndpoint(now time.Time, service, version string) *VersionKeeper {
+	last, known := k.seen[service]
+	if known && last.version == version {
+		return k
+	}
+	next := *k
+	next.seen = kernel.CloneMap(k.seen)
+	if known {
+		last.changedAt = now
+	}
+	next.seen[service] = seenVersion{version: version, changedAt: last.changedAt}
+	return &next
 }
 
-// NextVersionRecord returns the record that the store must hold of a service, and whether the one
-// that it holds must be replaced. If certain is false, this node does not know whether the
-// listed version has been the only one: another node may know better.
+// Due returns the records that the node writes now if it is the reader of the given rank, and the
+// keeper after that.
+//
+// Load pattern: a change reaches all readers of the store at once, and one of them must write it,
+// if possible one that knows whether the listed version has been the only one. So each waits longer
+// than the one ranked before it, and one that does not know longer than all others.
+func (k *VersionKeeper) Due(now time.Time, v *View, rank int) ([]VersionWrite, *VersionKeeper) {
+	next := *k
+	var writes []VersionWrite
+	for _, service := range v.Table().ResumableServices() {
+		r, due, certain := k.next(now, v, service)
+		_, waiting := next.dueAt[service]
+		if due != waiting {
+			next.dueAt = kernel.CloneMap(next.dueAt)
+			next.dueAt[service] = now
+		}
+		if !due {
+			delete(next.dueAt, service)
+			continue
+		}
+		delay := versionStagger * time.Duration(min(rank, maxVersionRank))
+		if !certain {
+			delay += uncertainDelay
+		}
+		if now.Sub(next.dueAt[service]) >= delay {
+			writes = append(writes, VersionWrite{Service: service, Record: r, Revision: k.stored[service].revision})
+		}
+	}
+	return writes, &next
+}
+
+// next returns the record that the store must hold of a service, and whether the one that it
+// holds must be replaced. If certain is false, this node does not know whether the listed version
+// has been the only one.
 //
 // Load pattern: in a release, versions change twice for each service, and then all nodes may end
 // while the former version leaves. So each change is written, and what was written in an
 // earlier era of the store counts only if a node confirms it.
-func (v *View) NextVersionRecord(now time.Time, service string, known KnownVersions) (r VersionRecord, due, certain bool) {
+func (k *VersionKeeper) next(now time.Time, v *View, service string) (r VersionRecord, due, certain bool) {
 	listed := v.listedVersions(service)
 	if len(listed) == 0 {
 		return VersionRecord{}, false, false
 	}
-	r = VersionRecord{Versions: listed, Since: wallMillis(now), Era: known.Era}
-	stored := known.Stored
-	valid := stored != nil && stored.Era == known.Era
+	r = VersionRecord{Versions: listed, Since: wallMillis(now), Era: k.era}
+	stored, isStored := k.stored[service]
+	valid := isStored && stored.record.Era == k.era && slices.Equal(stored.record.Versions, listed)
 	if len(listed) > 1 {
-		return r, !valid || !slices.Equal(stored.Versions, r.Versions), true
+		return r, !valid, true
 	}
+	trusted, certain := k.trusted[service]
 	switch {
-	case known.Trusted != nil:
-		if slices.Equal(known.Trusted.Versions, r.Versions) {
-			r.Since = known.Trusted.Since
-		}
-		certain = true
-	case stored == nil && known.FirstStart && now.Sub(v.startedAt) < versionMemory:
+	case certain && slices.Equal(trusted.Versions, listed):
+		r.Since = trusted.Since
+	case !certain && !isStored && k.firstStart && now.Sub(v.startedAt) < versionMemory:
 		r.Since, certain = 0, true
 	}
-	if !known.ChangedAt.IsZero() {
-		r.Since = max(r.Since, wallMillis(known.ChangedAt))
+	if at := k.seen[service].changedAt; !at.IsZero() {
+		r.Since = max(r.Since, wallMillis(at))
 	}
-	due = !valid || !slices.Equal(stored.Versions, r.Versions) || r.Since-stored.Since > clockTolerance.Milliseconds()
-	return r, due, certain
+	return r, !valid || r.Since-stored.record.Since > clockTolerance.Milliseconds(), certain
 }
--- a/fleet/version_test.go
+++ b/fleet/version_test.go
@@ -1,86 +1,158 @@
 package fleet
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/table"
 )
 
-var recordTime = time.Unix(100_000, 0)
-
-// versionRecord returns a record whose versions have been the only ones for a time, or always if that is 0.
-func versionRecord(era int64, only time.Duration, versions ...string) *VersionRecord {
-	r := &VersionRecord{Versions: versions, Era: era}
-	if only > 0 {
-		r.Since = recordTime.Add(-only).UnixMilli()
-	}
-	return r
-}
-
 // TestSoleVersionOfRecord guards against records that are believed although a newer one may have
 // been lost, or a stream of another version may still run, also if the time of day has jumped by half
-// a minute since the writing. The records of the origins of streams are kept for a minute.
+// a minute since the writing. The origins of streams are kept for a minute.
 func TestSoleVersionOfRecord(t *testing.T) {
-	const jump = 30 * time.Second
-	for name, test := range map[string]struct {
-		record *VersionRecord
-		want   string
+	const origin, jump = time.Minute, 30 * time.Second
+	now := time.Unix(100_000, 0)
+	since := func(d time.Duration) int64 { return now.Add(-d).UnixMilli() }
+	for _, test := range []struct {
+		record VersionRecord
+		sole   bool
 	}{
-		"from the first start on":     {versionRecord(3, 0, "v1"), "v1"},
-		"for long":                    {versionRecord(3, versionMemory, "v1"), "v1"},
-		"too short":                   {versionRecord(3, versionMemory-time.Millisecond, "v1"), ""},
-		"a minute and a jump forward": {versionRecord(3, originTime+jump, "v1"), ""},
-		"a minute and a jump back":    {versionRecord(3, originTime-jump, "v1"), ""},
-		"of a later time of day":      {&VersionRecord{Versions: []string{"v1"}, Since: recordTime.Add(jump).UnixMilli(), Era: 3}, ""},
-		"for long, and a jump back":   {versionRecord(3, versionMemory+2*jump-jump, "v1"), "v1"},
-		"two versions":                {versionRecord(3, 0, "v1", "v2"), ""},
-		"no version":                  {versionRecord(3, 0), ""},
-		"of an earlier era":           {versionRecord(2, 0, "v1"), ""},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3}, true},
+		{VersionRecord{Versions: []string{"v1"}, Era: 2}, false},
+		{VersionRecord{Versions: []string{"v1", "v2"}, Era: 3}, false},
+		{VersionRecord{Era: 3}, false},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3, Since: since(versionMemory)}, true},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3, Since: since(versionMemory - time.Millisecond)}, false},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3, Since: since(origin + jump)}, false},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3, Since: since(origin - jump)}, false},
+		{VersionRecord{Versions: []string{"v1"}, Era: 3, Since: since(-jump)}, false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			version, sole := test.record.SoleVersion(recordTime, 3)
-			qt.Assert(t, version, qt.Equals, test.want)
-			qt.Assert(t, sole, qt.Equals, test.want != "")
-		})
+		version, sole := test.record.SoleVersion(now, 3)
+		qt.Assert(t, sole, qt.Equals, test.sole, qt.Commentf("%+v", test.record))
+		qt.Assert(t, version == "v1", qt.Equals, test.sole)
+	}
+}
+
+// readers are nodes that read a store, which holds the record of one service, and write it.
+type readers struct {
+	keepers  []*VersionKeeper // by rank
+	view     *View
+	now      time.Time
+	era      int64
+	record   VersionRecord
+	revision int64 // of the record; 0 if there is none
+	writes   int   // also those whose condition failed
+}
+
+// start lets nodes that were started some time ago begin to read the store.
+func (r *readers) start(firstStart bool, age time.Duration) {
+	r.view.startedAt = r.now.Add(-age)
+	for i := range r.keepers {
+		r.keepers[i] = NewVersionKeeper(firstStart)
 	}
+	r.run(uncertainDelay + time.Second)
 }
 
-const originTime = time.Minute
+// run lets all nodes read the store every 100 ms and then write what is due, so that they learn of
+// each other's writes 100 ms late.
+func (r *readers) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(100 * time.Millisecond) {
+		for i, k := range r.keepers {
+			k = k.WithRead(r.now, r.era, true)
+			for _, e := range r.view.services["s"] {
+				k = k.WithEndpoint(r.now, "s", e.Version)
+			}
+			if r.revision > 0 {
+				k = k.WithRecord("s", r.record, r.revision)
+			}
+			r.keepers[i] = k
+		}
+		for i, k := range r.keepers {
+			writes, next := k.Due(r.now, r.view, i)
+			r.keepers[i] = next
+			for _, w := range writes {
+				if r.writes++; w.Revision == r.revision {
+					r.record, r.revision = w.Record, r.revision+1
+				}
+			}
+		}
+	}
+}
 
-// TestNextVersionRecord replays releases, restarts and restorations of the store, and guards
-// against records that claim more than their writer knows.
-func TestNextVersionRecord(t *testing.T) {
-	always, mixed, now := versionRecord(0, 0, "v1"), versionRecord(0, time.Minute, "v1", "v2"), recordTime.UnixMilli()
-	for name, test := range map[string]struct {
-		listed       string // a letter for each endpoint, which names its version
-		known        KnownVersions
-		age          time.Duration // of the process
-		want         VersionRecord
-		due, certain bool
+// step carries out a step, or lists endpoints of versions, a digit for each.
+func (r *readers) step(step string) {
+	switch step {
+	case "run":
+		r.run(time.Second)
+	case "cut":
+		r.now = r.now.Add(maxReadGap + time.Second)
+	case "wait":
+		r.run(versionMemory)
+	case "restart":
+		r.start(false, 0)
+	case "lost":
+		r.revision = 0
+	case "late": // the first list of a service
+		r.revision = 0
+		r.start(true, versionMemory)
+	case "first":
+		r.keepers[0] = NewVersionKeeper(false)
+	case "restored":
+		r.era++
+	case "unreadable":
+		r.record = VersionRecord{}
+	case "between": // a version comes and goes between two reads
+		for i, k := range r.keepers {
+			r.keepers[i] = k.WithEndpoint(r.now, "s", "v2").WithEndpoint(r.now, "s", "v1")
+		}
+	default:
+		r.view.services = map[string][]Endpoint{}
+		for _, digit := range strings.Trim(step, "-") {
+			r.view.services["s"] = append(r.view.services["s"], Endpoint{Version: "v" + string(digit)})
+		}
+	}
+}
+
+// TestVersionsOutliveAllNodes replays releases, restarts and restorations, and guards against
+// records that name a version although a stream of another one may still run, against streams
+// that are given up without need, and against nodes that all write the same record.
+func TestVersionsOutliveAllNodes(t *testing.T) {
+	routes := []table.Route{{Resumable: true, Shares: []table.Share{{Service: "s"}}}}
+	for _, test := range []struct {
+		steps  string
+		want   string // sole version; empty for none
+		writes int
 	}{
-		"nothing listed":         {"", KnownVersions{FirstStart: true}, 0, VersionRecord{}, false, false},
-		"first start":            {"11", KnownVersions{FirstStart: true}, time.Second, *always, true, true},
-		"recorded":               {"11", KnownVersions{FirstStart: true, Stored: always, Trusted: always}, time.Second, *always, false, true},
-		"long after the start":   {"1", KnownVersions{FirstStart: true}, versionMemory, VersionRecord{[]string{"v1"}, now, 0}, true, false},
-		"no record":              {"1", KnownVersions{}, time.Second, VersionRecord{[]string{"v1"}, now, 0}, true, false},
-		"release begins":         {"21", KnownVersions{Stored: always, Trusted: always}, 0, VersionRecord{mixed.Versions, now, 0}, true, true},
-		"release goes on":        {"21", KnownVersions{Stored: mixed, Trusted: mixed}, 0, VersionRecord{mixed.Versions, now, 0}, false, true},
-		"release ends":           {"2", KnownVersions{Stored: mixed, Trusted: mixed}, 0, VersionRecord{[]string{"v2"}, now, 0}, true, true},
-		"release that is over":   {"1", KnownVersions{Stored: always, Trusted: always, ChangedAt: recordTime}, 0, VersionRecord{[]string{"v1"}, now, 0}, true, true},
-		"clocks apart":           {"1", KnownVersions{Stored: versionRecord(0, clockTolerance, "v1"), Trusted: versionRecord(0, clockTolerance, "v1"), ChangedAt: recordTime}, 0, VersionRecord{[]string{"v1"}, now, 0}, false, true},
-		"restored, confirmed":    {"1", KnownVersions{Stored: always, Trusted: always, Era: 1}, 0, VersionRecord{[]string{"v1"}, 0, 1}, true, true},
-		"restored, not known":    {"1", KnownVersions{Stored: always, Era: 1}, 0, VersionRecord{[]string{"v1"}, now, 1}, true, false},
-		"restored, former since": {"1", KnownVersions{Stored: always, Trusted: versionRecord(0, time.Hour, "v1"), Era: 1}, 0, VersionRecord{[]string{"v1"}, versionRecord(0, time.Hour).Since, 1}, true, true},
+		{"", "v1", 1}, {"restart", "v1", 1}, {"- restart 1 restart", "v1", 1}, {"late", "", 2},
+		{"21 run", "", 2}, {"21 run 22 restart", "", 3}, {"21 run 22 run wait", "v2", 3}, {"21 run 1 run", "", 3},
+		{"21 1 restart", "v1", 1}, // no node has read of v2, so none has begun a stream there
+		{"22 restart", "", 2},
+		{"21 run 1 run between run", "", 3}, // within the tolerance of clocks
+		{"between run", "", 2}, {"between run wait restart", "v1", 2}, {"unreadable run", "v1", 2},
+		{"restored", "", 1}, {"restored run", "v1", 2}, {"21 run 1 run restored run", "", 4},
+		{"restored restart", "", 2}, {"restored restart wait", "v1", 2},
+		{"lost restart", "", 2}, {"first restored run run run", "v1", 2}, // those that know write before the one that has restarted
+		{"cut run", "v1", 1}, {"cut restored run run run", "", 2},
 	} {
-		t.Run(name, func(t *testing.T) {
-			v := &View{startedAt: recordTime.Add(-test.age), services: map[string][]Endpoint{}}
-			for _, version := range test.listed {
-				v.services["s"] = append(v.services["s"], Endpoint{Version: "v" + string(version)})
-			}
-			r, due, certain := v.NextVersionRecord(recordTime, "s", test.known)
-			qt.Assert(t, r, qt.DeepEquals, test.want)
-			qt.Assert(t, []bool{due, certain}, qt.DeepEquals, []bool{test.due, test.certain})
-		})
+		for _, nodes := range []int{4, 27, 100} {
+			t.Run(fmt.Sprint(nodes, " ", test.steps), func(t *testing.T) {
+				r := &readers{keepers: make([]*VersionKeeper, nodes), view: &View{table: table.New(table.Config{Routes: routes})}, now: time.Unix(100_000, 0)}
+				r.step("11")
+				r.start(true, 0)
+				for _, step := range strings.Fields(test.steps) {
+					r.step(step)
+				}
+				version, sole := r.record.SoleVersion(r.now, r.era)
+				qt.Assert(t, version, qt.Equals, test.want, qt.Commentf("%+v", r.record))
+				qt.Assert(t, sole, qt.Equals, test.want != "")
+				qt.Assert(t, r.writes, qt.Equals, test.writes)
+				qt.Assert(t, slices.IsSorted(r.record.Versions), qt.IsTrue)
+			})
+		}
 	}
 }
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -211,23 +211,13 @@
 }
 
 // TestLateFirstCopy guards against a first copy, late or after a failed one, that still passes the link
-// when final copies begin: it replays a link with one such copy and the final copies behind it.
+// when final copies begin, 1.2 s after the notice at the latest.
 func TestLateFirstCopy(t *testing.T) {
-	const finalCopiesAt = 1200 * ms // the latest time at which final copies begin
 	g := move.Generation{Events: 5, Remaining: 5 * time.Second, Copyable: true}
-	for _, copyTime := range []time.Duration{0, firstCopyTime, 2 * firstCopyTime} {
-		g.CopyTime = copyTime
-		copied := 0
-		for since := time.Duration(0); since < move.NoticePeriod; since += 10 * ms {
-			g.SinceNotice = since
-			if move.Decide(g) != move.Action(move.Copy{}) {
-				continue
-			}
-			copied++
-			free := since + copyTime
-			qt.Assert(t, max(free, finalCopiesAt)+8*finalCopyTime < linkUptime, qt.IsTrue, qt.Commentf("a copy of %s that begins after %s", copyTime, since))
-			qt.Assert(t, free <= finalCopiesAt, qt.IsTrue)
+	for _, g.CopyTime = range []time.Duration{0, firstCopyTime, 2 * firstCopyTime} {
+		for g.SinceNotice = 0; g.SinceNotice < move.NoticePeriod; g.SinceNotice += 10 * ms {
+			fits := g.SinceNotice+g.CopyTime <= 1200*ms
+			qt.Assert(t, move.Decide(g) == move.Action(move.Copy{}), qt.Equals, fits, qt.Commentf("a copy of %s after %s", g.CopyTime, g.SinceNotice))
 		}
-		qt.Assert(t, copied > 0, qt.IsTrue)
 	}
 }
