--- a/fleet/version_test.go
+++ b/fleet/version_test.go
@@ -136,7 +136,8 @@
 		{"between run", "", 2}, {"between run wait restart", "v1", 2}, {"unreadable run", "v1", 2},
 		{"restored", "", 1}, {"restored run", "v1", 2}, {"21 run 1 run restored run", "", 4},
 		{"restored restart", "", 2}, {"restored restart wait", "v1", 2},
-		{"lost restart", "", 2}, {"first restored run run run", "v1", 2}, // those that know write before the one that has restarted
+		{"lost restart", "", 2},
+		{"first restored run run run", "v1", 3}, // two that know write within 100 ms, before the one that has restarted
 		{"cut run", "v1", 1}, {"cut restored run run run", "", 2},
 	} {
 		for _, nodes := range []int{4, 27, 100} {
