--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -15,7 +15,6 @@
 const (
 	copyTimeout        = 2500 * time.Millisecond // for both copies of a migration together; exceeds the notice period, as an engine may run a little longer
 	dropCopyTimeout    = time.Second
-	farCopyFactor      = 2                     // by which a copy to another data centre takes longer
 	retryCheckInterval = 50 * time.Millisecond // between two looks at whether the retry budget allows a migration
 )
 
@@ -193,7 +192,7 @@
 			s.switchToBackup(g, seg)
 			return
 		case move.Copy:
-			target, ok := s.reserveTarget(time.Now(), g, seg, state, avoid)
+			target, ok := s.reserveTarget(time.Now(), g, seg, avoid)
 			if !ok {
 				s.record("stay", g.routed.req, seg.endpoint.ID, "the engine is leaving; no other engine of its version has room")
 				return
@@ -225,7 +224,6 @@
 		Copyable:    seg.copyable && s.usage.closedForCopies(now, view, seg.endpoint) == 0,
 		Planned:     seg.planned,
 		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
-		CopyTime:    g.copyCandidate().CopyTime,
 	}
 	state.Remaining = move.RemainingTime(seg.events, max(seg.expectedEvents-seg.eventsBefore, 0), now.Sub(seg.firstEventAt))
 	return state, false
@@ -233,10 +231,10 @@
 
 // reserveTarget chooses the engine that a generation migrates to, adds the memory that the
 // generation needs to its usage, and counts the continuation against its rate limit: a
-// random one with room, if possible in the data centre of the leaving engine, else in another
-// one if the longer copy still fits. The choice is random so that nodes that migrate
+// random one with room, if possible in the data centre of the leaving engine, as copies to
+// other data centres take twice as long. The choice is random so that nodes that migrate
 // generations at the same time do not all choose the engine with the least load.
-func (s *Server) reserveTarget(now time.Time, g *generation, seg *segment, state move.Generation, avoid []string) (fleet.Endpoint, bool) {
+func (s *Server) reserveTarget(now time.Time, g *generation, seg *segment, avoid []string) (fleet.Endpoint, bool) {
 	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -252,7 +250,7 @@
 	for i, e := range endpoints {
 		if candidates[i].SameCentre {
 			near = append(near, e)
-		} else if move.FirstCopyFits(state.SinceNotice, farCopyFactor*state.CopyTime) {
+		} else {
 			far = append(far, e)
 		}
 	}
--- a/move/move.go
+++ b/move/move.go
@@ -37,7 +37,7 @@
 	// passed wait behind them while their generations are stopped.
 	finalCopyDeadline = 1200 * time.Millisecond
 	// Generations that PlanCopies did not choose are copied from lateCopyBegin to
-	// lateCopyEnd after the notice, if the copies still fit.
+	// lateCopyEnd after the notice.
 	lateCopyBegin = 700 * time.Millisecond
 	lateCopyEnd   = 1100 * time.Millisecond
 	// idleCopyTime is the longest time that a copy of a few tokens takes on links without
@@ -46,6 +46,9 @@
 	// minBackupAge is the age of a generation from which its backup is assumed to
 	// hold the prompt, whose copy of some thousand tokens queues on two links.
 	minBackupAge = 1200 * time.Millisecond
+	// minCopyTime is the part of the notice period that must be left for a first
+	// copy to begin.
+	minCopyTime = 250 * time.Millisecond
 	// decideInterval is the time between two decisions on a generation that can be
 	// neither copied nor switched to its backup yet.
 	decideInterval = 50 * time.Millisecond
@@ -73,7 +76,6 @@
 	Copyable     bool          // its engine can copy it
 	Planned      bool          // PlanCopies chose it
 	LateCopyAt   time.Duration // time since the notice from which it is copied although PlanCopies did not choose it
-	CopyTime     time.Duration // time that its first copy takes on the engine's link; 0 if unknown
 	FailedCopies int           // copies that have failed since the notice
 }
 
@@ -113,7 +115,7 @@
 		return Stay{}
 	case g.Events > 0 && g.HasBackup && g.Age >= minBackupAge:
 		return Switch{}
-	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && FirstCopyFits(g.SinceNotice, g.CopyTime):
+	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && remaining >= minCopyTime:
 		return Copy{}
 	case remaining > 0:
 		return Wait{For: decideInterval}
@@ -129,14 +131,6 @@
 	return lateCopyBegin + time.Duration(fraction*float64(lateCopyEnd-lateCopyBegin))
 }
 
-// FirstCopyFits reports whether a first copy that begins now and takes the given time may
-// begin. Load pattern: copies pass an engine's link one after another, so that a long first
-// copy which still passes when the final copies begin delays them until the engine is gone,
-// and all generations are lost whose first copies were complete.
-func FirstCopyFits(sinceNotice, copyTime time.Duration) bool {
-	return sinceNotice+copyTime <= finalCopyDeadline
-}
-
 // CopyCandidate is a generation on a leaving engine, as input to PlanCopies.
 type CopyCandidate struct {
 	Tokens   int           // expected tokens of prompt and output; more are preferred
