--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,6 @@
 	Workspace    string        // empty if the request needs no key
 	Priority     int           // 0 is the most urgent
 	TimeLeft     time.Duration // until the request's deadline
-	BackupAddr   string        // address of the engine that keeps a copy of the generation; empty for none
 	ContinueFrom *CacheCopy    // copy from which the generation continues; nil for none
 	LastEventID  string        // id of the last event that the caller has received
 }
@@ -156,16 +155,15 @@
 
 // Config describes a server.
 type Config struct {
-	Daemon        *daemon.Daemon
-	Relay         *relay.Client
-	Carrier       *carry.Carrier // by which Relay connects to endpoints
-	Dialect       Dialect
-	Centre        string
-	Seed          uint64
-	RetryLimit    retry.Limit   // of the retries at each service
-	MaxFillBackup float64       // fraction of an engine's memory up to which it takes backups of generations on other engines; 0 for none
-	BodyMemory    int64         // bytes of all responses that are read whole at the same time; 0 for a default
-	AddressTTL    time.Duration // how long callers may use a list of entry hosts
+	Daemon     *daemon.Daemon
+	Relay      *relay.Client
+	Carrier    *carry.Carrier // by which Relay connects to endpoints
+	Dialect    Dialect
+	Centre     string
+	Seed       uint64
+	RetryLimit retry.Limit   // of the retries at each service
+	BodyMemory int64         // bytes of all responses that are read whole at the same time; 0 for a default
+	AddressTTL time.Duration // how long callers may use a list of entry hosts
 	// SoleVersion returns the software version that has begun all streams of a service which may
 	// still run, and whether the platform's store says that there is only one. nil: it never does.
 	SoleVersion  func(ctx context.Context, service string) (string, bool)
--- a/entry/evacuate.go
+++ b/entry/evacuate.go
@@ -22,7 +22,6 @@
 // guarded by the server's mutex.
 type segment struct {
 	endpoint          fleet.Endpoint
-	backup            fleet.Endpoint
 	response          *relay.Response
 	startedAt         time.Time
 	firstEventAt      time.Time     // when the first event from this engine arrived
@@ -58,7 +57,6 @@
 	s := g.server
 	seg := &segment{
 		endpoint:       g.endpoint,
-		backup:         g.backup,
 		response:       resp,
 		startedAt:      time.Now(),
 		eventsBefore:   g.events,
@@ -188,9 +186,6 @@
 			if !wait.For(g.ctx, a.For) {
 				return
 			}
-		case move.Switch:
-			s.switchToBackup(g, seg)
-			return
 		case move.Copy:
 			target, ok := s.reserveTarget(time.Now(), g, seg, avoid)
 			if !ok {
@@ -210,17 +205,14 @@
 // on it. It reports true when the generation has ended or left the engine.
 func (s *Server) evacuationState(g *generation, seg *segment, now, noticedAt time.Time) (move.Generation, bool) {
 	view := s.view()
-	backup, listed := view.Endpoint(seg.backup.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if seg.ended || seg.movedTo != nil {
 		return move.Generation{}, true
 	}
 	state := move.Generation{
-		Age:         now.Sub(seg.startedAt),
 		Events:      seg.events,
 		SinceNotice: now.Sub(noticedAt),
-		HasBackup:   listed && !backup.Leaving && s.usage.closedFor(now, view, backup) == 0,
 		Copyable:    seg.copyable && s.usage.closedForCopies(now, view, seg.endpoint) == 0,
 		Planned:     seg.planned,
 		LateCopyAt:  move.LateCopyTime(seg.finalCopyFraction),
@@ -266,17 +258,6 @@
 	return target, true
 }
 
-// switchToBackup ends the segment on the leaving engine. The generation
-// continues from the copy that the backup engine keeps.
-func (s *Server) switchToBackup(g *generation, seg *segment) {
-	dest := &destination{endpoint: seg.backup, copy: CacheCopy{Addr: seg.backup.Addr, Name: g.routed.req.ID}, done: make(chan struct{})}
-	close(dest.done)
-	if !s.setDestination(g, seg, dest) {
-		return
-	}
-	seg.response.Close()
-}
-
 // setDestination sets where a generation continues when its segment on the
 // leaving engine ends. It reports false if the segment has ended already.
 func (s *Server) setDestination(g *generation, seg *segment, dest *destination) bool {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/fleet"
-	"github.com/plantaindeck/plantaindeck/place"
 	"github.com/plantaindeck/plantaindeck/relay"
 )
 
@@ -18,7 +17,6 @@
 	engineConnectTimeout = 300 * time.Millisecond // after which an engine counts as unreachable
 	maxStreamAttempts    = 12                     // of one generation, refused ones included
 	minLoggedPause       = 150 * time.Millisecond // between two events
-	minBackupOutput      = 200                    // expected output tokens; a resumable generation with fewer gets no backup
 )
 
 // generation is a generation in flight and its stream to the caller.
@@ -28,7 +26,6 @@
 	out           ResponseWriter
 	ctx           context.Context
 	endpoint      fleet.Endpoint
-	backup        fleet.Endpoint // keeps a copy of the generation; its ID is empty if none does
 	copyFrom      *CacheCopy     // from which the next attempt continues; nil for none
 	movedTo       *destination   // set after a migration until the next attempt
 	lastEventID   string         // of the last event that was sent to the caller
@@ -104,14 +101,13 @@
 }
 
 // nextEndpoint reserves the endpoint of the next attempt and sets the copy to continue
-// from: the destination of a migration, which has been counted as a retry, else the
-// backup, else, without a copy, an engine with room if the request has not run or the
-// route allows retries. It reports false if no further attempt is possible.
+// from: the destination of a migration, which has been counted as a retry, else, without a
+// copy, an engine with room if the request has not run or the route allows retries. It reports false if no further attempt is possible.
 func (g *generation) nextEndpoint() bool {
 	s, rr := g.server, g.routed
 	if dest := g.movedTo; dest != nil && g.takesContinuation(dest) {
 		g.copyFrom, g.endpoint = &dest.copy, dest.endpoint
-		g.movedTo, g.backup = nil, fleet.Endpoint{}
+		g.movedTo = nil
 		g.addUsage()
 		return true
 	}
@@ -120,12 +116,6 @@
 		g.lastErr = errors.New("the retry budget is exhausted")
 		return false
 	}
-	if g.attempts > 0 && g.backup.ID != "" && s.takeCall(time.Now(), g.backup.ID) {
-		g.copyFrom, g.endpoint = &CacheCopy{Addr: g.backup.Addr, Name: rr.req.ID}, g.backup
-		g.backup = fleet.Endpoint{}
-		g.addUsage()
-		return true
-	}
 	g.copyFrom = nil
 	if rr.mayHaveRun && (!rr.route.Retryable() || g.attempts >= rr.route.MaxAttempts) {
 		return false
@@ -158,14 +148,9 @@
 	}
 	rr.tried = append(rr.tried, g.endpoint.ID)
 	defer g.removeUsage(g.endpoint.ID)
-	g.reserveBackup()
-	if id := g.backup.ID; id != "" {
-		defer s.addUsage(id, usage{tokens: -g.tokens})
-	}
 	a := s.newAttempt(rr, g.endpoint)
 	a.LastEventID = g.lastEventID
 	a.ContinueFrom = g.copyFrom
-	a.BackupAddr = g.backup.Addr
 	resp, err := s.sendAttempt(g.ctx, a, engineConnectTimeout)
 	if err != nil {
 		return g.handleFailure(err)
@@ -224,7 +209,6 @@
 		if refused != nil {
 			g.refusals++
 		}
-		g.backup = fleet.Endpoint{} // it holds no copy, as the generation did not start
 	} else {
 		g.attempts++
 		g.routed.mayHaveRun = true
@@ -234,21 +218,6 @@
 	return callerGone(g.ctx)
 }
 
-// reserveBackup chooses the engine that keeps a copy of the generation, and adds the
-// memory for it to the engine's usage. There is none if the generation needs no backup
-// or no other engine has room for one.
-func (g *generation) reserveBackup() {
-	g.backup = fleet.Endpoint{}
-	svc, maxFill := g.routed.service, g.server.cfg.MaxFillBackup
-	if maxFill == 0 || svc.Engine == nil || !svc.Engine.SupportsBackups || g.routed.route.Resumable && g.routed.expectedOutput() < minBackupOutput {
-		return
-	}
-	sel := selection{service: svc, centre: g.endpoint.Centre, need: place.Need{Tokens: g.tokens}, maxFill: maxFill, version: &g.endpoint.Version, avoid: []string{g.endpoint.ID}, use: usage{tokens: g.tokens}}
-	if e, _, ok := g.server.reserveEndpoint(time.Now(), g.server.view(), sel); ok {
-		g.backup = e
-	}
-}
-
 // passResponse sends the caller a response that is not a stream. It reports
 // false if the generation needs another attempt instead.
 func (g *generation) passResponse(resp *relay.Response) bool {
@@ -265,7 +234,6 @@
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
 		g.header = nil
-		g.backup = fleet.Endpoint{}
 		return false
 	}
 	writeResponse(g.out, &bufferedResponse{status: resp.Status, header: s.cfg.Dialect.CallerHeader(resp.Header), body: body})
--- a/move/move.go
+++ b/move/move.go
@@ -4,9 +4,8 @@
 // Load pattern: the platform reclaims engines two at a time, every few seconds,
 // with a notice period of one and a half to two seconds, while generations last
 // five times as long and must not run twice. A generation survives by continuing
-// from a copy of its KV cache on another engine: either the copy that its backup
-// engine has kept from the start, or one that is made within the notice period.
-// The latter takes two copies: a long first one while the generation runs, and a
+// from a copy of its KV cache on another engine that is made within the notice period.
+// That takes two copies: a long first one while the generation runs, and a
 // short final one of what is new, after the generation has been stopped.
 //
 // All functions are pure; package entry carries out the decisions.
@@ -43,14 +42,11 @@
 	// idleCopyTime is the longest time that a copy of a few tokens takes on links without
 	// other copies.
 	idleCopyTime = 40 * time.Millisecond
-	// minBackupAge is the age of a generation from which its backup is assumed to
-	// hold the prompt, whose copy of some thousand tokens queues on two links.
-	minBackupAge = 1200 * time.Millisecond
 	// minCopyTime is the part of the notice period that must be left for a first
 	// copy to begin.
 	minCopyTime = 250 * time.Millisecond
-	// decideInterval is the time between two decisions on a generation that can be
-	// neither copied nor switched to its backup yet.
+	// decideInterval is the time between two decisions on a generation that cannot
+	// be copied yet.
 	decideInterval = 50 * time.Millisecond
 )
 
@@ -68,18 +64,16 @@
 
 // Generation is a generation on an engine that is leaving.
 type Generation struct {
-	Age          time.Duration // since this engine accepted it
 	Events       int           // events that have arrived from this engine
 	Remaining    time.Duration // expected time to its end
 	SinceNotice  time.Duration // since the notice
-	HasBackup    bool          // the engine that keeps a copy is listed and not leaving
 	Copyable     bool          // its engine can copy it
 	Planned      bool          // PlanCopies chose it
 	LateCopyAt   time.Duration // time since the notice from which it is copied although PlanCopies did not choose it
 	FailedCopies int           // copies that have failed since the notice
 }
 
-// Action is what to do with a generation: Stay, Switch, Copy or Wait. The set of
+// Action is what to do with a generation: Stay, Copy or Wait. The set of
 // actions is closed.
 type Action interface {
 	isAction()
@@ -88,9 +82,6 @@
 // Stay leaves the generation where it is.
 type Stay struct{}
 
-// Switch continues the generation from the copy on its backup engine.
-type Switch struct{}
-
 // Copy migrates the generation by copying it to an engine that is chosen now.
 type Copy struct{}
 
@@ -99,22 +90,18 @@
 	For time.Duration
 }
 
-func (Stay) isAction()   {}
-func (Switch) isAction() {}
-func (Copy) isAction()   {}
-func (Wait) isAction()   {}
+func (Stay) isAction() {}
+func (Copy) isAction() {}
+func (Wait) isAction() {}
 
 // Decide returns what to do with a generation. It stays if it is about to end.
-// Otherwise it switches to a backup that holds the prompt, or else is copied, later if
-// PlanCopies did not choose it. If neither is possible, the decision waits until the
-// notice period is over, and then the generation stays.
+// Otherwise it is copied, later if PlanCopies did not choose it. If that is not possible, the
+// decision waits until the notice period is over, and then the generation stays.
 func Decide(g Generation) Action {
 	remaining := NoticePeriod - g.SinceNotice
 	switch {
 	case g.Events > 0 && g.Remaining < minRemaining:
 		return Stay{}
-	case g.Events > 0 && g.HasBackup && g.Age >= minBackupAge:
-		return Switch{}
 	case g.Events > 0 && g.Copyable && (g.Planned || g.SinceNotice >= g.LateCopyAt) && g.FailedCopies < maxCopyAttempts && remaining >= minCopyTime:
 		return Copy{}
 	case remaining > 0:
--- a/table/table.go
+++ b/table/table.go
@@ -89,7 +89,6 @@
 	TokenBytes        int           // KV cache of one token, bytes
 	LinkMbps          float64       // bandwidth for copies of a KV cache, Mbit/s
 	SupportsMigration bool          `json:"Moves"`    // a running generation can migrate to another engine
-	SupportsBackups   bool          `json:"Backups"`  // a second engine can hold a copy of a running generation
 	TokensPerEvent    int           `json:"Stride"`   // tokens in one event of a stream
 	CopyTTL           time.Duration `json:"CopyLife"` // an unused copy is kept at least this long
 }
