Count retries from the pool of a load group for the whole window

Cause: a node's report of what it took from the pool was forgotten with the node when it was killed, stopped or moved to another load group, and replaced by none when it started again; the others then took the same part of the pool once more. Messages about contact with the store, leaving endpoints, limits and cold endpoints held no report, which the receivers took for a report of none, so that readers of the store lost theirs every 0.6 s.

Now each message holds the report, and a report that ends is remembered for the window of the limit.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -329,7 +329,7 @@
 func (s *Server) retryShare(service string) retry.Share {
 	state := s.cfg.Daemon.State()
 	m := member.Of(state)
-	group, unknown, pooled := fleet.Of(state).GroupRetries(service, m.Self().GetId())
+	group, unknown, pooled := fleet.Of(state).GroupRetries(time.Now(), s.cfg.RetryLimit.Window, service, m.Self().GetId())
 	return retry.Share{Nodes: m.Len(), Group: group, Unknown: unknown, Pooled: pooled}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,6 +115,7 @@
 	changesSentAt time.Time                // when changes of the local usage were last sent
 	group         LoadGroup                // of this node
 	peers         map[string]peerUsage     // by node
+	spentPools    map[string]spentPool     // by node
 	remoteUsage   map[string]EndpointUsage // sum over peers, by endpoint
 	leaveReports  map[string]leaveReport   // by endpoint
 	limits        map[string]rateLimit     // by endpoint
@@ -226,23 +227,6 @@
 // according to the messages that they sent.
 func (v *View) RemoteUsage(id string) EndpointUsage { return v.remoteUsage[id] }
 
-// GroupRetries returns the number of nodes in this node's load group, how many of the
-// others have not reported their usage, and the retries at a service that those who have
-// took from the group's pool in the last window.
-func (v *View) GroupRetries(service, self string) (nodes, unknown, pooled int) {
-	for _, id := range v.group.nodes {
-		if id == self {
-			continue
-		}
-		p, known := v.peers[id]
-		if !known {
-			unknown++
-		}
-		pooled += int(p.pooled[service])
-	}
-	return max(len(v.group.nodes), 1), unknown, pooled
-}
-
 // PeerCount returns the number of other nodes whose usage is known.
 func (v *View) PeerCount() int { return len(v.peers) }
 
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -304,7 +304,7 @@
 
 func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
 	next := *v
-	next.group = loadGroupOf(m)
+	next.setGroup(now, loadGroupOf(m))
 	if next.startedAt.IsZero() {
 		next.startedAt = now
 	}
@@ -318,6 +318,7 @@
 		next.expireReports(now)
 		next.expireLimits(now)
 		next.expireCold(now)
+		next.expireSpentPools(now)
 		for _, id := range m.Neighbours() {
 			effects = append(effects, next.sendItems(id, nil))
 		}
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -123,7 +123,6 @@
 	for _, id := range slices.Sorted(maps.Keys(v.localUsage)) {
 		u.Uses = append(u.Uses, v.localUsage[id].Wire(id))
 	}
-	u.Pooled = v.localPooled
 	if isLarge(m) {
 		return sendUsage(m, v.group.nodes, u)
 	}
@@ -133,9 +132,10 @@
 // statusMessage returns a Usage without uses. It says which endpoints reported
 // that they are leaving, each with the time left in milliseconds plus 1, or 0 if
 // that is unknown, which rate limits endpoints have stated, and when the store last
-// responded to this node.
+// responded to this node. Like each Usage, it holds the retries from the pool, which replace
+// those of the last one.
 func (v *View) statusMessage(now time.Time, m *member.View) *wire.Usage {
-	u := &wire.Usage{Contact: v.contactAge(now, m)}
+	u := &wire.Usage{Contact: v.contactAge(now, m), Pooled: v.localPooled}
 	v.addLeaving(now, u)
 	v.addLimits(u)
 	v.addCold(now, u)
@@ -169,6 +169,7 @@
 			}
 		}
 	}
+	next.keepEndedReports(now, from, old.pooled, u.GetPooled())
 	next.peers = kernel.CloneMap(v.peers)
 	sameCentre := m.SameCentre(from)
 	next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled(), waiting: old.waiting}
@@ -221,6 +222,7 @@
 			changed = true
 		}
 		v.addUsage(u, -1)
+		v.keepSpent(now, id, u.pooled)
 		delete(v.peers, id)
 	}
 }
