Use no burst of the retry limit in the first window after a restart

More repeats reached a service than the limit allows (BUDGET): 196 in 10 s where 85 were allowed, with engines that reject requests while nodes are killed.

Cause: a node that started again took its whole part of the burst and of the pool, although its former process had used them in the same window.

Now a node uses the burst only from one window after its start on, unless the whole deployment starts for the first time. The share of new requests is available at once.

TestRestartsKeepTheLimit fails without the change for all numbers of nodes (1 to 400), for one node with 480 retries where 96 are allowed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,7 +161,10 @@
 	Dialect    Dialect
 	Centre     string
 	Seed       uint64
-	RetryLimit retry.Limit   // of the retries at each service
+	RetryLimit retry.Limit // of the retries at each service
+	// FirstStart says that the nodes of the deployment have been started for the first time, so
+	// that no former process has used a part of the retry limit.
+	FirstStart bool
 	BodyMemory int64         // bytes of all responses that are read whole at the same time; 0 for a default
 	AddressTTL time.Duration // how long callers may use a list of entry hosts
 	// SoleVersion returns the software version that has begun all streams of a service which may
@@ -180,6 +183,7 @@
 	bodies          *bodyMemory
 	metrics         *serverMetrics
 	retryLimiters   map[string]*retry.Limiter                  // by service
+	retryBurstFrom  time.Time                                  // from when on they use the burst
 	generations     map[*generation]bool                       // those in flight
 	placements      *placements                                // in and for other load groups
 	crashChecks     map[string]*crashCheck                     // those that run, by endpoint
@@ -205,6 +209,10 @@
 		crashChecks:   map[string]*crashCheck{},
 		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 	}
+	s.retryBurstFrom = time.Now()
+	if !cfg.FirstStart {
+		s.retryBurstFrom = s.retryBurstFrom.Add(cfg.RetryLimit.Window)
+	}
 	s.metrics = newServerMetrics(cfg.Daemon.Metrics(), s)
 	return s
 }
@@ -317,7 +325,7 @@
 	defer s.mu.Unlock()
 	l, ok := s.retryLimiters[service]
 	if !ok {
-		l = retry.NewLimiter(time.Now(), s.cfg.RetryLimit)
+		l = retry.NewLimiter(time.Now(), s.retryBurstFrom, s.cfg.RetryLimit)
 		s.retryLimiters[service] = l
 		s.metrics.addRetriesLeft(service, func() float64 { return l.Available(time.Now(), s.retryShare(service)) })
 	}
--- a/retry/limiter.go
+++ b/retry/limiter.go
@@ -26,6 +26,7 @@
 type Limiter struct {
 	limit        Limit
 	start        time.Time // buckets are counted from here, as the wall clock may jump
+	burstFrom    time.Time // from when on the node uses the burst
 	mu           sync.Mutex
 	newestBucket int64 // counted from start; the arrays are indexed by it modulo bucketCount
 	requests     [bucketCount]int
@@ -34,9 +35,11 @@
 	nodes        int         // as the last call of Allow stated
 }
 
-// NewLimiter returns the limiter of a node that has just started.
-func NewLimiter(now time.Time, limit Limit) *Limiter {
-	return &Limiter{limit: limit, start: now}
+// NewLimiter returns a limiter that uses the burst from burstFrom on. Load pattern: engines
+// fail while nodes are killed and start again. A node does not know how much of the burst its
+// former process has used, so for a window after its start it must not use any.
+func NewLimiter(now, burstFrom time.Time, limit Limit) *Limiter {
+	return &Limiter{limit: limit, start: now, burstFrom: burstFrom}
 }
 
 // advance clears the buckets that have left the window by now, and returns the
@@ -88,7 +91,7 @@
 	defer l.mu.Unlock()
 	i := l.advance(now)
 	l.nodes = s.Nodes
-	own, pool := l.available(s)
+	own, pool := l.available(now, s)
 	if own < 1 {
 		l.unreported = slices.DeleteFunc(l.unreported, func(at time.Time) bool { return now.Sub(at) >= reportTime })
 		taken := float64(len(l.unreported))
@@ -106,7 +109,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	own, pool := l.available(s)
+	own, pool := l.available(now, s)
 	return max(own, 0) + max(pool, 0)
 }
 
@@ -115,19 +118,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	own, _ := l.available(Share{Nodes: l.nodes, Group: 1})
+	own, _ := l.available(now, Share{Nodes: l.nodes, Group: 1})
 	return int(math.Ceil(max(-own, 0)))
 }
 
 // available returns how many more retries this node's own part and the pool allow. The
 // own part is negative by what has been taken from the pool. The caller holds the mutex
 // and has called advance.
-func (l *Limiter) available(s Share) (own, pool float64) {
+func (l *Limiter) available(now time.Time, s Share) (own, pool float64) {
 	requests, retries := 0, 0
 	for j := range bucketCount {
 		requests += l.requests[j]
 		retries += l.retries[j]
 	}
-	own = s.half(l.limit.Burst, 1) + limitMargin*l.limit.Ratio*float64(requests) - float64(retries)
+	own = limitMargin*l.limit.Ratio*float64(requests) - float64(retries)
+	if now.Before(l.burstFrom) {
+		return own, 0
+	}
+	own += s.half(l.limit.Burst, 1)
 	return own, s.half(l.limit.Burst, s.Group-s.Unknown) - float64(s.Pooled) + min(own, 0)
 }
--- a/retry/limiter_test.go
+++ b/retry/limiter_test.go
@@ -19,7 +19,7 @@
 	for _, nodes := range []int{1, 4, 33} {
 		limiters := make([]*retry.Limiter, nodes)
 		for i := range limiters {
-			limiters[i] = retry.NewLimiter(start, limit)
+			limiters[i] = retry.NewLimiter(start, start, limit)
 		}
 		var requests, retries []time.Duration
 		for at := time.Duration(0); at < 40*time.Second; at += 50 * time.Millisecond {
@@ -30,19 +30,63 @@
 				retries = append(retries, at)
 			}
 		}
-		countFrom := func(list []time.Duration, from time.Duration) (n int) {
-			for _, at := range list {
-				if at >= from && at < from+limit.Window {
-					n++
+		assertWithinLimit(t, limit, requests, retries)
+	}
+}
+
+// TestRestartsKeepTheLimit guards against nodes that use their part of the burst again after
+// each restart, as they do not know what their former processes have used. All nodes restart
+// together every 3 s, or one of them every second.
+func TestRestartsKeepTheLimit(t *testing.T) {
+	start := time.Now()
+	for _, nodes := range []int{1, 4, 27, 87, 400} {
+		for _, together := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d nodes, together %t", nodes, together), func(t *testing.T) {
+				large := limit
+				large.Burst = max(limit.Burst, 4*float64(nodes))
+				limiters := make([]*retry.Limiter, nodes)
+				for i := range limiters {
+					limiters[i] = retry.NewLimiter(start, start, large)
 				}
-			}
-			return n
+				var requests, retries []time.Duration
+				for step := range 800 {
+					at := time.Duration(step) * 50 * time.Millisecond
+					for i := range limiters {
+						if step > 0 && (together && step%60 == 0 || !together && step%20 == 0 && step/20%nodes == i) {
+							limiters[i] = retry.NewLimiter(start.Add(at), start.Add(at+large.Window), large)
+						}
+					}
+					l := limiters[step%nodes]
+					l.AddRequest(start.Add(at))
+					requests = append(requests, at)
+					for _, l := range limiters {
+						for l.Allow(start.Add(at), retry.Share{Nodes: nodes, Group: 1}) {
+							retries = append(retries, at)
+						}
+					}
+				}
+				assertWithinLimit(t, large, requests, retries)
+			})
 		}
-		for from := time.Duration(0); from < 30*time.Second; from += 500 * time.Millisecond {
-			allowed := limit.Ratio*float64(countFrom(requests, from)) + limit.Burst
-			got := countFrom(retries, from)
-			qt.Assert(t, float64(got) <= allowed, qt.IsTrue, qt.Commentf("%d nodes, from %s: %d retries, %f allowed", nodes, from, got, allowed))
+	}
+}
+
+// assertWithinLimit asserts that the retries are within the limit in every window. The times
+// are in order.
+func assertWithinLimit(t *testing.T, limit retry.Limit, requests, retries []time.Duration) {
+	t.Helper()
+	count := func(list []time.Duration, from time.Duration) (n int) {
+		for _, at := range list {
+			if at >= from && at < from+limit.Window {
+				n++
+			}
 		}
+		return n
+	}
+	for from := time.Duration(0); from < 30*time.Second; from += 500 * time.Millisecond {
+		allowed := limit.Ratio*float64(count(requests, from)) + limit.Burst
+		got := count(retries, from)
+		qt.Assert(t, float64(got) <= allowed, qt.IsTrue, qt.Commentf("from %s: %d retries, %f allowed", from, got, allowed))
 	}
 }
 
@@ -61,7 +105,7 @@
 	}
 	t.Run("one node", func(t *testing.T) {
 		start := time.Now()
-		together, alone := retry.NewLimiter(start, large), retry.NewLimiter(start, large)
+		together, alone := retry.NewLimiter(start, start, large), retry.NewLimiter(start, start, large)
 		made, madeAlone := 0, 0
 		for at := start; at.Before(start.Add(5 * time.Second)); at = at.Add(50 * time.Millisecond) {
 			if together.Allow(at, share(0)) {
@@ -79,7 +123,7 @@
 			start := time.Now()
 			limiters := make([]*retry.Limiter, group)
 			for i := range limiters {
-				limiters[i] = retry.NewLimiter(start, large)
+				limiters[i] = retry.NewLimiter(start, start, large)
 			}
 			type report struct {
 				at     time.Time
@@ -121,7 +165,7 @@
 		})
 	}
 	t.Run("unknown nodes", func(t *testing.T) {
-		l := retry.NewLimiter(time.Now(), large)
+		l := retry.NewLimiter(time.Now(), time.Now(), large)
 		got := l.Available(time.Now(), retry.Share{Nodes: nodes, Group: group, Unknown: group - 1})
 		qt.Assert(t, got, qt.Equals, l.Available(time.Now(), retry.Share{Nodes: nodes, Group: 1}))
 	})
@@ -129,7 +173,7 @@
 
 func TestLimiterForgetsOldRetries(t *testing.T) {
 	start := time.Now()
-	l := retry.NewLimiter(start, limit)
+	l := retry.NewLimiter(start, start, limit)
 	allowed := 0
 	for l.Allow(start, alone) {
 		allowed++
