Reject continuations of streams that are no continuation

A stream had begun and broke off, and the engine at which it went on answered with an error under the status 200, began the stream anew, or closed an unframed response before its first event. Errors with a status of their own were handled: another attempt is made, or the caller's connection is aborted.

Now a continuation must be of the stream's media type, begin with an event after the last one that the caller has, and an unframed one must hold an event.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -164,6 +164,9 @@
 	if resp.Status != http.StatusOK {
 		return g.passResponse(resp)
 	}
+	if err := g.checkMediaType(resp); err != nil {
+		return g.rejectContinuation(err)
+	}
 	return g.relayEvents(resp)
 }
 
@@ -248,11 +251,16 @@
 	seg := g.startSegment(resp)
 	defer g.endSegment(seg)
 	events := relay.NewEventReader(resp)
+	joined := g.lastEventID == "" // no event precedes the segment, or its first one follows the last of those
 	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && resp.UntilClose && g.events == 0 && g.lastEventID == "" {
+		if errors.Is(err, io.EOF) && resp.UntilClose && seg.events == 0 {
 			err = io.ErrUnexpectedEOF // the end of the engine's process looks the same, and an answer has an event
 		}
+		if err == nil && !joined && !event.IsComment() {
+			err = checkFollows(event.ID, g.lastEventID)
+			joined = true
+		}
 		if err == nil {
 			g.recordEvent(seg)
 		}
--- a/relay/event.go
+++ b/relay/event.go
@@ -13,6 +13,17 @@
 	Raw []byte // includes the blank line that ends it; valid until the next call of Next
 }
 
+// IsComment reports whether every line of the event is a comment, such as one that keeps the
+// connection alive.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(bytes.TrimSpace(e.Raw)) {
+		if line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // EventReader splits a stream into its events without changing a byte, so that
 // a stream that breaks within an event can continue after the previous event.
 type EventReader struct {
