Give stopping nodes the changes of the routing table

A caller on an open connection of a node that stops got 404 on a route that had been added more than 3 s before (CONFIG).

Cause: a node that has announced that it is leaving is nobody's neighbour any more, so that it gets neither changes nor digests, while it serves open connections until its last response has ended, on the platform for up to 8 s. It sends its own digests, but a Want fetches in one direction only. Documents of package policy are pulled in both directions and were not affected.

Now a node that gets a differing digest from one that it does not count as usable returns its own.

TestTableReachesStoppingNodes failed before at 4, 27 and 87 nodes, and TestTableReachesRestartedNodes at 27 and 87.

--- a/fleet/step.go
+++ b/fleet/step.go
@@ -46,7 +46,7 @@
 	case *wire.Frame_Items:
 		next, effects := v.learn(now, m, e.From, body.Items.GetItems(), false)
 		effects = append(effects, next.settleFetches(now, e.From, body.Items.GetItems())...)
-		return next.compareDigest(now, e.From, body.Items, effects)
+		return next.compareDigest(now, m, e.From, body.Items, effects)
 	case *wire.Frame_Want:
 		return v, v.handleWant(e.From, body.Want)
 	case *wire.Frame_Usage:
@@ -256,6 +256,12 @@
 	return kernel.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Items{Items: body}}}
 }
 
+// returnDigest sends a node the digest for its own. It does not claim to be listed, so that it
+// is not answered in turn.
+func (v *View) returnDigest(to string) kernel.Effect {
+	return kernel.Send{To: to, Frame: &wire.Frame{Body: &wire.Frame_Items{Items: &wire.Items{Digest: v.records.digest}}}}
+}
+
 // setComplete records that every item of the store has been learned, if so.
 func (v *View) setComplete(now time.Time, complete bool) {
 	if complete && !v.complete {
@@ -269,8 +275,14 @@
 // although nothing was lost. So a Want is sent only if no new item has arrived for
 // digestSettleTime, or if maxMismatches of the neighbour's digests in a row
 // differed.
-func (v *View) compareDigest(now time.Time, from string, items *wire.Items, effects []kernel.Effect) (*View, []kernel.Effect) {
+//
+// A node that stops is no node's neighbour any more, but still serves callers on their open
+// connections. It gets the digest in return for its own, so that it finds out what it lacks.
+func (v *View) compareDigest(now time.Time, m *member.View, from string, items *wire.Items, effects []kernel.Effect) (*View, []kernel.Effect) {
 	equal := items.GetDigest() == v.records.digest
+	if !equal && items.GetListed() && !m.Usable(from) {
+		effects = append(effects, v.returnDigest(from))
+	}
 	v.setComplete(now, equal && items.GetListed() && v.table != nil)
 	if len(items.GetItems()) > 0 || equal && v.mismatches[from] == 0 {
 		return v, effects // mismatches are counted only for messages without items
