--- a/feed/feed.go
+++ b/feed/feed.go
@@ -127,9 +127,10 @@
 	f.postNodes(ctx)
 	backoff := minRetryBackoff
 	var at fleet.Version // of the last result
-	listed, stale := false, true
+	listed, stale, reads := false, true, true
 	for ctx.Err() == nil {
-		if listed && !fleet.ReadsStore(f.cfg.Daemon.State(), time.Now()) {
+		reads = f.recordReading(reads, !listed || fleet.ReadsStore(f.cfg.Daemon.State(), time.Now()))
+		if !reads {
 			f.failing.Store(false)
 			wait.For(ctx, readerCheckInterval)
 			continue
@@ -165,6 +166,17 @@
 	}
 }
 
+// recordReading records that this node begins or ceases to watch the store for the others, and
+// returns whether it does.
+func (f *Feed) recordReading(before, reads bool) bool {
+	if reads && !before {
+		f.cfg.Daemon.Record(trace.Entry{Kind: "store-reader", Detail: "this node watches the store, as too few others are known to be served by it"})
+	} else if before && !reads {
+		f.cfg.Daemon.Record(trace.Entry{Kind: "store-reader", Detail: "this node ceases to watch the store, as others do"})
+	}
+	return reads
+}
+
 func (f *Feed) recordFailure(err error) {
 	f.lastFailure = time.Now()
 	f.cfg.Daemon.Record(trace.Entry{Kind: "store-failed", Detail: err.Error()})
