--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/kernel"
-	"github.com/plantaindeck/plantaindeck/wire"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 )
@@ -19,15 +18,6 @@
 	pollTimeout   = 900 * time.Millisecond // of one read; shorter than either interval
 )
 
-// host is one entry of the platform's list of hosts.
-type host struct {
-	IP     string `json:"ip"`
-	Peer   string `json:"peer"`   // address for other nodes; empty unless the host is an entry host
-	Front  string `json:"front"`  // address for callers
-	Centre string `json:"centre"` // data centre
-	State  string `json:"state"`  // "leaving" if the host is about to go
-}
-
 // runPeriodically starts a goroutine that calls job at once and then at every
 // interval until ctx ends. The channel receives nil after the last call.
 func runPeriodically(ctx context.Context, interval time.Duration, job func()) <-chan error {
@@ -47,32 +37,6 @@
 	return done
 }
 
-// pollHosts starts to read the list of hosts periodically and to post it to the
-// kernel.
-func (d *Daemon) pollHosts(ctx context.Context) <-chan error {
-	return runPeriodically(ctx, hostsInterval, func() {
-		var hosts []host
-		if err := d.getJSON("http://"+d.cfg.HostsAddr+"/v1/hosts", &hosts); err != nil {
-			klog.V(1).InfoS("Failed to read the list of hosts; keeping the previous one", "err", err)
-			return
-		}
-		d.post(ctx, hostsListed(hosts))
-	})
-}
-
-func hostsListed(hosts []host) kernel.HostsListed {
-	var e kernel.HostsListed
-	for _, h := range hosts {
-		if h.Peer != "" {
-			e.Nodes = append(e.Nodes, &wire.Member{Id: h.Peer, Front: h.Front, Centre: h.Centre})
-		}
-		if h.State == "leaving" {
-			e.Leaving = append(e.Leaving, h.IP)
-		}
-	}
-	return e
-}
-
 // load is an engine's report of its load. Its fields match kernel.EngineLoad, to which
 // it is converted.
 type load struct {
@@ -112,16 +76,25 @@
 }
 
 func (d *Daemon) getJSON(url string, v any) error {
+	body, err := d.get(url)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(body, v), "decode %s", url)
+}
+
+// get returns the body of a response with status 200.
+func (d *Daemon) get(url string) ([]byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(url)
 	if err := d.http.DoTimeout(req, resp, pollTimeout); err != nil {
-		return errors.Wrapf(err, "get %s", url)
+		return nil, errors.Wrapf(err, "get %s", url)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("get %s: status %d", url, resp.StatusCode())
+		return nil, errors.Errorf("get %s: status %d", url, resp.StatusCode())
 	}
-	return errors.Wrapf(json.Unmarshal(resp.Body(), v), "decode %s", url)
+	return append([]byte(nil), resp.Body()...), nil
 }
