--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/plantaindeck/plantaindeck/fleet"
+	"github.com/plantaindeck/plantaindeck/kernel"
 )
 
 // TestStoreServesFewNodes guards against changes of the configuration that reach no node in
@@ -34,3 +35,19 @@
 		}
 	}
 }
+
+// TestReaderFailsOnce guards against many nodes that read the store because one read of one
+// reader failed.
+func TestReaderFailsOnce(t *testing.T) {
+	for _, nodes := range []int{27, 87} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			n := newReaderNetwork(t, nodes)
+			first := n.readers()
+			before := n.reads
+			n.Step(first[0], kernel.StoreFailed{})
+			n.run(time.Second)
+			qt.Assert(t, n.readers(), qt.DeepEquals, first)
+			qt.Assert(t, n.reads-before <= 30, qt.IsTrue, qt.Commentf("%d reads, 20 by the readers", n.reads-before))
+		})
+	}
+}
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -24,6 +24,9 @@
 	case kernel.ItemsLearned:
 		next, effects := v.learn(now, member.Of(s), "", e.Items, e.Complete)
 		next.contactAt, next.lastContact, next.contactLostAt = now, now, time.Time{}
+		if !v.contactLostAt.IsZero() {
+			effects = append(effects, next.sendContact(now, member.Of(s))...) // before others take over
+		}
 		return next, append(effects, next.settleFetches(now, "", e.Items)...)
 	case kernel.StoreFailed:
 		return v.loseContact(now, member.Of(s))
