Tell a node's former process by its number

Usages now carry a number of the process, and only the report of a former process is kept.

The field is new and left out by older builds, whose reports are then kept when they end or leave the group only.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -188,8 +188,8 @@
 	next := *v
 	effect := next.setCold(now, e.Endpoint, c, "its response")
 	next.divideLimits(now, m)
-	u := &wire.Usage{Changes: true, Contact: next.contactAge(now, m), Pooled: next.localPooled, Cold: []*wire.Cold{c.wire(now, e.Endpoint)}}
-	return &next, append(sendUsage(m, m.Owners(), u), effect)
+	u := &wire.Usage{Changes: true, Contact: next.contactAge(now, m), Cold: []*wire.Cold{c.wire(now, e.Endpoint)}}
+	return &next, append(next.sendUsage(m, m.Owners(), u), effect)
 }
 
 // mergeCold stores the statements that another node sent, if they are newer.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -122,6 +122,7 @@
 	shares        map[string]RateShare     // of the limits that count and of what cold endpoints can bear, by endpoint
 	limitedCount  int                      // endpoints that have a rate limit
 	startedAt     time.Time                // when this node's first Tick came; zero before
+	run           uint32                   // number of this process, another one than that of the node's former process; odd, 0 before the first Tick
 	cold          map[string]coldState     // by endpoint
 	coldCount     int                      // cold endpoints whose services bound the requests to them
 	self          string                   // id of this node
@@ -139,6 +140,7 @@
 	sameCentre bool // the node is in this node's data centre
 	uses       map[string]EndpointUsage
 	pooled     map[string]uint32 // retries from the pool of the load group in the last window, by service
+	run        uint32            // number of the process that sent the usage; 0 if unknown
 	waiting    waitingList       // requests that wait there
 }
 
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -45,7 +45,7 @@
 func (v *View) sendLeaving(now time.Time, m *member.View) []kernel.Effect {
 	u := v.statusMessage(now, m)
 	u.Changes = true
-	return sendUsage(m, m.Owners(), u)
+	return v.sendUsage(m, m.Owners(), u)
 }
 
 // addLeaving adds the reports of endpoints themselves to a Usage.
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -184,8 +184,8 @@
 	}
 	next := *v
 	effect := next.setLimit(now, m, e.Endpoint, l, "its response")
-	u := &wire.Usage{Changes: true, Contact: next.contactAge(now, m), Pooled: next.localPooled, Limits: []*wire.Limit{l.wire(e.Endpoint)}}
-	return &next, append(sendUsage(m, m.Owners(), u), effect)
+	u := &wire.Usage{Changes: true, Contact: next.contactAge(now, m), Limits: []*wire.Limit{l.wire(e.Endpoint)}}
+	return &next, append(next.sendUsage(m, m.Owners(), u), effect)
 }
 
 // mergeLimits stores the limits that another node sent, if they are newer.
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -11,12 +11,12 @@
 // spentPoolTTL is longer than the window of a retry limit.
 const spentPoolTTL = 5 * time.Minute
 
-// spentPool holds what a node took from the pool of the load group before it left the group or
-// its report ended. Load pattern: an engine fails, and the node that has used the pool for its
+// spentPool holds what a node took from the pool of the load group before it ended, started again
+// or left the group. Load pattern: an engine fails, and the node that has used the pool for its
 // generations is killed. What it took still counts in the window of the retry limit, although
 // the node is gone, or has started again and reports nothing.
 type spentPool struct {
-	at     time.Time         // of the last report
+	at     time.Time         // when that was noticed
 	pooled map[string]uint32 // retries, by service
 }
 
@@ -65,14 +65,6 @@
 	v.spentPools[id] = spentPool{at: now, pooled: kept}
 }
 
-// keepEndedReports remembers the services of which a node reports no retries from the pool any
-// more. Its former process may have taken them.
-func (v *View) keepEndedReports(now time.Time, id string, old, reported map[string]uint32) {
-	ended := maps.Clone(old)
-	maps.DeleteFunc(ended, func(service string, n uint32) bool { return n == 0 || reported[service] > 0 })
-	v.keepSpent(now, id, ended)
-}
-
 // setGroup sets the load group, and remembers the reports of the nodes that leave it.
 func (v *View) setGroup(now time.Time, g LoadGroup) {
 	for _, id := range v.group.nodes {
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -150,7 +150,7 @@
 
 // sendContact tells the other nodes when the store last responded to this one.
 func (v *View) sendContact(now time.Time, m *member.View) []kernel.Effect {
-	return sendUsage(m, m.Owners(), &wire.Usage{Changes: true, Contact: v.contactAge(now, m), Pooled: v.localPooled})
+	return v.sendUsage(m, m.Owners(), &wire.Usage{Changes: true, Contact: v.contactAge(now, m)})
 }
 
 // statedContact returns when the store last responded to this node as the others are told it.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -321,7 +321,7 @@
 	next := *v
 	next.setGroup(now, loadGroupOf(m))
 	if next.startedAt.IsZero() {
-		next.startedAt = now
+		next.startedAt, next.run = now, uint32(m.Self().GetIncarnation())|1
 	}
 	next.divideLimits(now, m)
 	// Members on hold serve callers, as in divideLimits.
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -50,9 +50,9 @@
 		return nil
 	}
 	v.sentUsage, v.sentPooled, v.changesSentAt = sent, v.localPooled, now
-	u := &wire.Usage{Changes: true, Uses: changes, Pooled: v.localPooled}
+	u := &wire.Usage{Changes: true, Uses: changes}
 	v.addWaiting(now, u)
-	return sendUsage(m, v.group.nodes, u)
+	return v.sendUsage(m, v.group.nodes, u)
 }
 
 // pooledRose reports whether this node has taken more retries at a service from the pool
@@ -124,26 +124,27 @@
 		u.Uses = append(u.Uses, v.localUsage[id].Wire(id))
 	}
 	if isLarge(m) {
-		return sendUsage(m, v.group.nodes, u)
+		return v.sendUsage(m, v.group.nodes, u)
 	}
-	return sendUsage(m, m.Owners(), u)
+	return v.sendUsage(m, m.Owners(), u)
 }
 
 // statusMessage returns a Usage without uses. It says which endpoints reported
 // that they are leaving, each with the time left in milliseconds plus 1, or 0 if
 // that is unknown, which rate limits endpoints have stated, and when the store last
-// responded to this node. Like each Usage, it holds the retries from the pool, which replace
-// those of the last one.
+// responded to this node.
 func (v *View) statusMessage(now time.Time, m *member.View) *wire.Usage {
-	u := &wire.Usage{Contact: v.contactAge(now, m), Pooled: v.localPooled}
+	u := &wire.Usage{Contact: v.contactAge(now, m)}
 	v.addLeaving(now, u)
 	v.addLimits(u)
 	v.addCold(now, u)
 	return u
 }
 
-// sendUsage sends a Usage to each of the nodes except this one.
-func sendUsage(m *member.View, nodes []string, u *wire.Usage) []kernel.Effect {
+// sendUsage sends a Usage to each of the nodes except this one. Each Usage holds the retries from
+// the pool, which replace those of the last one.
+func (v *View) sendUsage(m *member.View, nodes []string, u *wire.Usage) []kernel.Effect {
+	u.Pooled, u.Run = v.localPooled, v.run
 	return m.SendTo(nodes, &wire.Frame{Body: &wire.Frame_Usage{Usage: u}})
 }
 
@@ -169,13 +170,15 @@
 			}
 		}
 	}
-	next.keepEndedReports(now, from, old.pooled, u.GetPooled())
+	if old.run != u.GetRun() {
+		next.keepSpent(now, from, old.pooled)
+	}
 	next.peers = kernel.CloneMap(v.peers)
-	sameCentre := m.SameCentre(from)
-	next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled(), waiting: old.waiting}
+	p := peerUsage{receivedAt: now, uses: uses, sameCentre: m.SameCentre(from), pooled: u.GetPooled(), run: u.GetRun(), waiting: old.waiting}
 	if len(u.GetWaiting()) > 0 {
-		next.peers[from] = peerUsage{receivedAt: now, uses: uses, sameCentre: sameCentre, pooled: u.GetPooled(), waiting: decodeWaiting(now, from, u.GetWaiting(), u.GetQueued())}
+		p.waiting = decodeWaiting(now, from, u.GetWaiting(), u.GetQueued())
 	}
+	next.peers[from] = p
 	next.addFreed(now, from, old.uses, uses)
 	next.remoteUsage = kernel.CloneMap(v.remoteUsage)
 	next.addUsage(old, -1)
