Replace readers that are not served although the node has just started

A node that had listed the store less than the time to live of a contact ago (2 s, 6 s with 400 nodes) did not try to replace the readers, although they had told it that the store does not serve them. It now waits only for contacts that it has not heard of. Found by TestStoreServesFewNodes with 400 nodes.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -104,14 +104,11 @@
 			times = append(times, at)
 		}
 	}
-	covered := v.completeAt
-	if len(times) >= count {
-		slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-		if at := times[count-1]; at.After(covered) {
-			covered = at
-		}
+	if len(times) < count {
+		return v.completeAt // they may not have had the time to tell this node
 	}
-	return covered
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[count-1]
 }
 
 // StoreSilent reports whether the store has responded to no node for some time, as far
