--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -81,17 +81,18 @@
 // isSuccess reports whether the caller takes the request for done: it got a success.
 func (a answer) isSuccess() bool { return a.err == nil && a.status >= 200 && a.status < 300 }
 
-// send sends a request to a plain service through the node at an address and reads the answer.
-func (d *deployment) send(addr, method, path string, body []byte, timeout time.Duration) answer {
+// send sends a request to a plain service through the node at an address and reads the answer. The lines
+// are further lines of its head.
+func (d *deployment) send(addr, method, path string, body []byte, timeout time.Duration, lines ...string) answer {
 	a := answer{id: newID(), node: addr, sentAt: time.Now()}
 	d.log.line("caller", "sends %s %s as %s to %s, %d bytes", method, path, a.id, addr, len(body))
-	a.err = a.exchange(method, path, body, timeout)
+	a.err = a.exchange(method, path, body, timeout, lines)
 	d.log.line("caller", "gets %s", a)
 	return a
 }
 
 // exchange sends the request on a channel of its own, with the path as it is, and reads the answer.
-func (a *answer) exchange(method, path string, body []byte, timeout time.Duration) error {
+func (a *answer) exchange(method, path string, body []byte, timeout time.Duration, lines []string) error {
 	conn, err := net.DialTimeout("tcp", a.node, time.Second)
 	if err != nil {
 		return err
@@ -102,6 +103,9 @@
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
 		method, path, host, a.id, timeout.Milliseconds(), key, len(body))
+	for _, line := range lines {
+		head = strings.Replace(head, "\r\n\r\n", "\r\n"+line+"\r\n\r\n", 1)
+	}
 	if _, err := conn.Write(append([]byte(head), body...)); err != nil {
 		return err
 	}
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -76,9 +80,9 @@
 	return nil
 }
 
-// Of the streams.
+// Of the drafts.
 const (
-	longStream  = 550              // events of the longest drafts, which then last 33 s
+	draftEvents = 300              // events of a draft, which then lasts 18 s
 	streamLimit = 39 * time.Second // time limit of a draft
 )
 
@@ -100,7 +104,8 @@
 }
 
 // rollingRestart: the nodes are stopped and started in turn while two software versions of the
-// engines serve side by side, and callers take up the streams that the stops break off.
+// engines serve side by side. Drafts begin while the first node is away, and callers take up those
+// that the stop of the second one breaks off.
 func rollingRestart(d *deployment, trouble bool) error {
 	d.putConfig()
 	d.nodes = d.nodes[:2]
@@ -113,50 +118,31 @@
 		return err
 	}
 	time.Sleep(contact) // all machines are in touch
-	drafts := d.streams(32, 4*time.Second, longStream)
 	began := time.Now()
-	// Short drafts go on all the time.
-	done := make(chan struct{})
+	var mu sync.Mutex
 	var short []*stream
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		var mu sync.Mutex
-		var calls sync.WaitGroup
-		for {
-			select {
-			case <-done:
-				calls.Wait()
-				return
-			case <-time.After(250 * time.Millisecond):
-			}
-			calls.Go(func() {
-				st := d.runStream(3, 6*time.Second, false)
-				mu.Lock()
-				short = append(short, st)
-				mu.Unlock()
-			})
-		}
+	stop := background(250*time.Millisecond, func() {
+		st := d.runStream(3, 6*time.Second, false)
+		mu.Lock()
+		defer mu.Unlock()
+		short = append(short, st)
 	})
-	if trouble {
-		time.Sleep(5 * time.Second)
-		for i, n := range d.nodes {
-			if i > 0 {
-				time.Sleep(contact + time.Second) // the node that was restarted before is in touch again
-			}
-			n.stop()
-			time.Sleep(restartTime)
-			if err := n.start(false); err != nil {
-				return err
-			}
-			if err := d.awaitReady(n); err != nil {
-				return err
-			}
+	drafts := func() []*stream { return nil }
+	for i, n := range d.nodes {
+		done := make(chan error, 1)
+		go func() { done <- d.restart(n, trouble) }()
+		time.Sleep(100 * time.Millisecond)
+		if i == 0 {
+			drafts = d.streams(32, 800*time.Millisecond, draftEvents)
 		}
+		if err := <-done; err != nil {
+			return err
+		}
+		time.Sleep(contact + time.Second) // the node is in touch again before the next one stops
 	}
 	list := drafts()
-	d.log.line("case", "the last draft has ended %s after the first began", time.Since(began).Round(time.Second))
-	close(done)
-	wg.Wait()
+	d.log.line("case", "the last draft has ended %s after the first stop", time.Since(began).Round(time.Second))
+	stop()
 	tookUp, goOn, complete := 0, 0, 0
 	for i, st := range list {
 		if st.complete {
@@ -209,7 +195,7 @@
 		return err
 	}
 	time.Sleep(contact)
-	drafts := d.streams(streams, 3*time.Second, 300)
+	drafts := d.streams(streams, 3*time.Second, draftEvents)
 	time.Sleep(4 * time.Second)
 	if trouble {
 		d.store.setBusy(true)
@@ -243,175 +229,169 @@
 	return nil
 }
 
-// watchesCut: the store cuts the watches that wait, while a server leaves whose record is removed.
-func watchesCut(d *deployment, trouble bool) error {
-	const drain = 2 * time.Second // drain-ms
-	d.putConfig()
-	var servers []*server
-	for i := range 5 {
-		s, err := d.newServer(fmt.Sprintf("i-orders-%d", i), "orders-app", "v1", false)
-		if err != nil {
-			return err
+const backAfter = 2 * time.Second // from the crash of a server until it is back
+
+// crashes are the times at which servers crashed under harmful requests.
+type crashes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// crashUnder makes servers crash when they run a harmful request; each is back after backAfter.
+func crashUnder(servers []*server, isHarmful func(r *http.Request, body string) bool) *crashes {
+	c := &crashes{}
+	for _, s := range servers {
+		s.isHarmful = isHarmful
+		s.onHarmful = func() {
+			c.mu.Lock()
+			c.times = append(c.times, time.Now())
+			c.mu.Unlock()
+			s.crash()
+			time.Sleep(backAfter)
+			if err := s.restart("v1"); err != nil {
+				panic(err)
+			}
 		}
-		servers = append(servers, s)
-	}
-	if err := d.start(); err != nil {
-		return err
 	}
-	time.Sleep(contact)
-	late := 0
-	for _, s := range servers[:3] {
-		time.Sleep(contact)
-		done := make(chan struct{})
-		if trouble {
-			d.store.cutWatches()
-			time.Sleep(50 * time.Millisecond)
-		}
-		close(done)
-		removed := s.leave()
-		time.Sleep(drain + 50*time.Millisecond - time.Since(removed))
-		var wg sync.WaitGroup
-		for i := range 24 {
-			wg.Go(func() {
-				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
-				d.send(fmt.Sprintf("%s:%d", d.nodes[i%len(d.nodes)].ip, portFront), http.MethodPost, "/pule252/2f", []byte("order"), 1500*time.Millisecond)
-			})
+	return c
+}
+
+// lateArrivals returns the number of crashes, and how often harmful requests reached servers later
+// than contact-ms after the crash with the given number.
+func (c *crashes) lateArrivals(d *deployment, number int) (total, late int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.times) < number {
+		return len(c.times), 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.runs {
+		if r.harmful && r.at.After(c.times[number-1].Add(contact)) {
+			late++
 		}
-		wg.Wait()
-		<-done
-		d.mu.Lock()
-		for _, r := range d.runs {
-			if r.server == s && r.at.After(removed.Add(drain)) {
-				late++
-				d.log.line("case", "%s reached %s %s after its record was removed", r.request, s.id, r.at.Sub(removed).Round(time.Millisecond))
+	}
+	return len(c.times), late
+}
+
+// background calls a function again and again, each time in a goroutine of its own, until the
+// function that it returns is called, which waits for all calls.
+func background(interval time.Duration, call func()) (stop func()) {
+	var calls sync.WaitGroup
+	done := make(chan struct{})
+	calls.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(interval):
+				calls.Go(call)
 			}
 		}
-		d.mu.Unlock()
-		s.crash()
-	}
-	d.log.say("%d orders reached a server later than %s after its record was removed", late, drain)
-	if late > 0 {
-		return fmt.Errorf("%w: DRAIN", errBroken)
+	})
+	return func() {
+		close(done)
+		calls.Wait()
 	}
-	return nil
 }
 
 // crashingRequest: a request that crashes each server which begins to run it comes again and again,
 // with the same path, caller and body and another query each time. With EQUAL=1 in the environment
 // the query is the same too.
 func crashingRequest(d *deployment, trouble bool) error {
-	const (
-		backAfter = 2 * time.Second // from a crash until the server is back
-		fatal     = "fatal"         // body of the harmful request
-	)
+	const harmful = "harmful" // body of the request
 	d.putConfig()
-	var servers []*server
 	for i := range 4 {
-		s, err := d.newServer(fmt.Sprintf("i-orders-%d", i), "orders-app", "v1", false)
-		if err != nil {
+		if _, err := d.newServer(fmt.Sprintf("i-orders-%d", i), "orders-app", "v1", false); err != nil {
 			return err
 		}
-		s.fatal = fatal
-		servers = append(servers, s)
 	}
+	crashed := crashUnder(d.servers, func(_ *http.Request, body string) bool { return body == harmful })
 	if err := d.start(); err != nil {
 		return err
 	}
 	time.Sleep(contact)
-	var mu sync.Mutex
-	var crashes []time.Time
-	for _, s := range servers {
-		s.onFatal = func() {
-			mu.Lock()
-			crashes = append(crashes, time.Now())
-			mu.Unlock()
-			s.crash()
-			time.Sleep(backAfter)
-			if err := s.restart("v1"); err != nil {
-				panic(err)
-			}
-		}
-	}
 	// Sound orders of the same caller go on all the time.
-	done := make(chan struct{})
-	var sound sync.WaitGroup
-	lost := 0
-	sound.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(30 * time.Millisecond):
-			}
-			sound.Go(func() {
-				if a := d.send(d.anyNode(), http.MethodPost, "/pule252/2f", []byte("order"), 1500*time.Millisecond); !a.isSuccess() && len(d.runsOf(a.id)) > 0 {
-					mu.Lock()
-					lost++
-					mu.Unlock()
-				}
-			})
+	var lost atomic.Int32
+	stop := background(30*time.Millisecond, func() {
+		if a := d.send(d.anyNode(), http.MethodPost, "/pule252/2f", []byte("order"), 1500*time.Millisecond); !a.isSuccess() && len(d.runsOf(a.id)) > 0 {
+			lost.Add(1)
 		}
 	})
 	for i := range 30 {
-		path := fmt.Sprintf("/puxa403/2f?try=%d", i)
+		path := fmt.Sprintf("/pule252/2f?try=%d", i)
 		if os.Getenv("EQUAL") == "1" {
-			path = "/puxa403/2f?try=0"
+			path = "/pule252/2f?try=0"
 		}
-		body := fatal
+		body := harmful
 		if !trouble {
 			body = "sound"
 		}
-		d.send(d.anyNode(), http.MethodGet, path, []byte(body), 1500*time.Millisecond)
+		d.send(d.anyNode(), http.MethodPost, path, []byte(body), 1500*time.Millisecond)
 		time.Sleep(time.Second)
 	}
-	close(done)
-	sound.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	late := 0
-	if len(crashes) >= 3 {
-		d.mu.Lock()
-		for _, r := range d.runs {
-			if r.fatal && r.at.After(crashes[2].Add(contact)) {
-				late++
-			}
-		}
-		d.mu.Unlock()
-	}
-	d.log.say("%d crashes; later than %s after the third, the request reached servers %d times; %d sound orders that ran got no success", len(crashes), contact, late, lost)
+	stop()
+	total, late := crashed.lateArrivals(d, 3)
+	d.log.say("%d crashes; later than %s after the third, the request reached servers %d times; %d sound orders that ran got no success", total, contact, late, lost.Load())
 	if late > 3 {
 		return fmt.Errorf("%w: BUDGET", errBroken)
 	}
 	return nil
 }
 
-// pathWithSlashes: the path of a request begins with two slashes.
-func pathWithSlashes(d *deployment, trouble bool) error {
+// crashingPart: a part of prompts crashes each engine that begins to write an answer on it. The
+// prompts have as many other parts as the environment's PARTS says, all before it and no two alike,
+// and a last part of their own.
+func crashingPart(d *deployment, trouble bool) error {
+	const harmful = "0bad" // id of the part
+	others, err := strconv.Atoi(cmp.Or(os.Getenv("PARTS"), "40"))
+	if err != nil {
+		return err
+	}
 	d.putConfig()
-	for i := range 3 {
-		if _, err := d.newServer(fmt.Sprintf("i-orders-%d", i), "orders-app", "v1", false); err != nil {
+	for i := range 4 {
+		if _, err := d.newServer(fmt.Sprintf("i-llm-%d", i), "llm-desk", "v1", true); err != nil {
 			return err
 		}
 	}
+	crashed := crashUnder(d.servers, func(r *http.Request, _ string) bool {
+		return strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+harmful+":")
+	})
 	if err := d.start(); err != nil {
 		return err
 	}
-	path := "/lager/erfassen?a=1"
-	if trouble {
-		path = "//lager/erfassen?a=1"
-	}
-	changed := 0
-	for i := range 12 {
-		a := d.send(fmt.Sprintf("%s:%d", d.nodes[i%len(d.nodes)].ip, portFront), http.MethodPost, path, []byte("order"), 1500*time.Millisecond)
-		for _, r := range d.runsOf(a.id) {
-			if r.target != "POST "+path {
-				changed++
-			}
+	time.Sleep(contact)
+	// Sound drafts of the same caller go on all the time.
+	var mu sync.Mutex
+	var begun, broken int
+	stop := background(200*time.Millisecond, func() {
+		st := d.runStream(20, 6*time.Second, false)
+		mu.Lock()
+		defer mu.Unlock()
+		if st.began {
+			begun++
+		}
+		if st.began && !st.complete {
+			broken++
+		}
+	})
+	for i := range 30 {
+		parts := ""
+		for k := range others {
+			parts += fmt.Sprintf("%x:30,", 0x10000+i*0x100+k)
+		}
+		if trouble {
+			parts += harmful + ":30,"
 		}
+		parts += fmt.Sprintf("%x:410", 0xf0000+i)
+		d.send(d.anyNode(), http.MethodPost, "/lohu930/2f", []byte(fmt.Sprintf("draft %d", i)), 3*time.Second, "X-Model: m", "X-Token-Usage: 1700,80", "X-Prompt-Prefix: "+parts)
+		time.Sleep(500 * time.Millisecond)
 	}
-	d.log.say("%d of 12 requests ran with another path than %s", changed, path)
-	if changed > 0 {
-		return fmt.Errorf("%w: UNASKED", errBroken)
+	stop()
+	total, late := crashed.lateArrivals(d, 5)
+	d.log.say("%d crashes; later than %s after the fifth, requests with the part reached servers %d times; %d sound drafts began, %d of them broke off", total, contact, late, begun, broken)
+	if late > 3 {
+		return fmt.Errorf("%w: BUDGET", errBroken)
 	}
 	return nil
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -39,7 +39,7 @@
 	server  *server
 	target  string // method and request target, as they arrived
 	at      time.Time
-	fatal   bool // it crashed the server
+	harmful bool // it crashed the server
 }
 
 // deployment is a small deployment: the store, the servers and the nodes.
@@ -119,9 +119,9 @@
 }
 
 // ran records that a server began to run a request.
-func (d *deployment) ran(s *server, r *http.Request, body int, fatal bool) {
+func (d *deployment) ran(s *server, r *http.Request, body int, harmful bool) {
 	d.mu.Lock()
-	d.runs = append(d.runs, run{request: r.Header.Get("X-Request-Id"), server: s, target: r.Method + " " + r.RequestURI, at: time.Now(), fatal: fatal})
+	d.runs = append(d.runs, run{request: r.Header.Get("X-Request-Id"), server: s, target: r.Method + " " + r.RequestURI, at: time.Now(), harmful: harmful})
 	d.mu.Unlock()
 	d.log.line(s.id, "runs %s: %s %s for host %s, tenant %s, after event %q, %d bytes", r.Header.Get("X-Request-Id"), r.Method, r.RequestURI, r.Host, r.Header.Get("X-Tenant"), r.Header.Get("Last-Event-Id"), body)
 }
@@ -154,9 +154,9 @@
 		"version": 7,
 		"routes": []any{
 			route("r-drafts", "/lohu930/", "streaming", "llm-desk", 39000, 1800, 2, true),
-			route("r-orders", "/pule252/", "unsafe", "orders-app", 1500, 300, 1, false),
-			route("r-stock", "/puxa403/", "safe", "orders-app", 1500, 300, 2, false),
-			route("r-rest", "/", "unsafe", "orders-app", 1500, 300, 1, false),
+			route("r-orders", "/pule252/", "unsafe", "orders-app", 800, 300, 1, false),
+			route("r-stock", "/puxa403/", "safe", "orders-app", 800, 300, 2, false),
+			route("r-rest", "/", "unsafe", "orders-app", 800, 300, 1, false),
 		},
 		"services": []any{
 			map[string]any{"name": "llm-desk", "health-path": "/health", "max-conns": 282, "protocol": "h1", "tls": false, "runtime": runtime},
@@ -286,6 +286,20 @@
 	}
 }
 
+// restart stops a node, starts it again and waits until it is ready. If trouble is false, it does
+// nothing.
+func (d *deployment) restart(n *node, trouble bool) error {
+	if !trouble {
+		return nil
+	}
+	n.stop()
+	time.Sleep(restartTime)
+	if err := n.start(false); err != nil {
+		return err
+	}
+	return d.awaitReady(n)
+}
+
 // runTime returns for how long the node's process has run.
 func (n *node) runTime() time.Duration {
 	n.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,12 +20,11 @@
 const maxTime = 115 * time.Second
 
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"foreign-entry":     foreignEntry,
-	"rolling-restart":   rollingRestart,
-	"upgrade-in-place":  upgradeInPlace,
-	"watches-cut":       watchesCut,
-	"crashing-request":  crashingRequest,
-	"path-with-slashes": pathWithSlashes,
+	"foreign-entry":    foreignEntry,
+	"rolling-restart":  rollingRestart,
+	"upgrade-in-place": upgradeInPlace,
+	"crashing-request": crashingRequest,
+	"crashing-part":    crashingPart,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,8 +40,9 @@
 	slots   int
 	work    time.Duration // of a request of a plain service
 	engine  bool
-	fatal   string // body of a request that crashes the server; empty for none
-	onFatal func() // crashes it and starts it again
+	// isHarmful says which requests crash the server when it begins to run them; nil for none.
+	isHarmful func(r *http.Request, body string) bool
+	onHarmful func() // crashes it and starts it again
 
 	mu       sync.Mutex
 	version  string
@@ -50,8 +51,6 @@
 	http     *http.Server // nil while it is down
 	life     context.Context
 	end      context.CancelFunc
-	leaving  bool
-	unlisted bool // its record is gone, and it writes no other
 	running  int
 	accepted int
 }
@@ -76,7 +75,7 @@
 func (s *server) serve(ln net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.born, s.sequence, s.running, s.leaving = time.Now().UnixMilli(), 0, 0, false
+	s.born, s.sequence, s.running = time.Now().UnixMilli(), 0, 0
 	s.life, s.end = context.WithCancel(context.Background())
 	s.http = &http.Server{Handler: s}
 	h := s.http
@@ -109,17 +108,6 @@
 	return nil
 }
 
-// leave begins the server's planned end without the state draining: its record is removed, and all
-// its answers say that it is leaving. It returns when the store has removed the record.
-func (s *server) leave() time.Time {
-	s.mu.Lock()
-	s.leaving, s.unlisted = true, true
-	s.mu.Unlock()
-	s.d.store.remove("servers/" + s.id)
-	s.d.log.line(s.id, "leaves: its record is removed")
-	return time.Now()
-}
-
 // beat writes the server's record about every heartbeat.
 func (s *server) beat() {
 	s.register()
@@ -128,11 +116,11 @@
 	}
 }
 
-// register writes the server's record, unless it is down or has left.
+// register writes the server's record, unless it is down.
 func (s *server) register() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.http == nil || s.unlisted {
+	if s.http == nil {
 		return
 	}
 	s.sequence++
@@ -152,18 +140,11 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	life, leaving, version := s.life, s.leaving, s.version
+	life, version := s.life, s.version
 	s.mu.Unlock()
-	if leaving {
-		w.Header().Set("Server-Leaving", "1")
-		w.Header().Set("Connection", "close")
-	}
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set("X-Instance-Id", s.id)
-		if leaving {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	case "/report":
 		s.report(w)
@@ -209,10 +190,10 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
-	fatal := s.fatal != "" && string(body) == s.fatal
-	s.d.ran(s, r, len(body), fatal)
-	if fatal {
-		go s.onFatal()
+	harmful := s.isHarmful != nil && s.isHarmful(r, string(body))
+	s.d.ran(s, r, len(body), harmful)
+	if harmful {
+		go s.onHarmful()
 		<-life.Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -234,13 +215,9 @@
 func (s *server) report(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := "ready"
-	if s.leaving {
-		state = "draining"
-	}
 	writeJSON(w, http.StatusOK, map[string]any{
 		"phase": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "sequence": s.accepted,
-		"queued": 0, "in-flight": s.running, "kv-used": 1000 * s.running, "kv-total": 34261, "handles": 0, "state": state, "born": s.born, "runs": []any{},
+		"queued": 0, "in-flight": s.running, "kv-used": 1000 * s.running, "kv-total": 34261, "handles": 0, "state": "ready", "born": s.born, "runs": []any{},
 	})
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -77,16 +77,6 @@
 	s.log.line("store", "busy: %v", busy)
 }
 
-// cutWatches closes the connections of the watches that wait.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	cut := s.cut
-	s.cut = make(chan struct{})
-	s.mu.Unlock()
-	close(cut)
-	s.log.line("store", "the waiting watches are cut")
-}
-
 // put writes the JSON form of v for the operator or a server, and returns whether the store took it.
 func (s *store) put(key string, v any) bool {
 	data, err := json.Marshal(v)
@@ -102,17 +92,6 @@
 	return true
 }
 
-// remove deletes a key for the operator or a server.
-func (s *store) remove(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy {
-		return false
-	}
-	s.change(item{Key: key, Deleted: true})
-	return true
-}
-
 // change writes or deletes a key and wakes the watches. The mutex is held.
 func (s *store) change(e item) {
 	old, exists := s.items[e.Key]
