--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -238,14 +238,21 @@
 }
 
 // crashUnder makes servers crash when they run a harmful request; each is back after backAfter.
-func crashUnder(servers []*server, isHarmful func(r *http.Request, body string) bool) *crashes {
+// If dark is true, a server sends nothing when it has crashed, not even that its connections end.
+func crashUnder(servers []*server, dark bool, isHarmful func(r *http.Request, body string) bool) *crashes {
 	c := &crashes{}
 	for _, s := range servers {
-		s.isHarmful = isHarmful
+		s.isHarmful, s.dark = isHarmful, dark
 		s.onHarmful = func() {
 			c.mu.Lock()
 			c.times = append(c.times, time.Now())
 			c.mu.Unlock()
+			if dark {
+				if err := s.goDark(backAfter); err != nil {
+					panic(err)
+				}
+				return
+			}
 			s.crash()
 			time.Sleep(backAfter)
 			if err := s.restart("v1"); err != nil {
@@ -296,8 +303,8 @@
 }
 
 // crashingRequest: a request that crashes each server which begins to run it comes again and again,
-// with the same path, caller and body and another query each time. With EQUAL=1 in the environment
-// the query is the same too.
+// the same each time. The servers send nothing when they have crashed; with REFUSE=1 in the
+// environment their connections end at once, and new ones are refused.
 func crashingRequest(d *deployment, trouble bool) error {
 	const harmful = "harmful" // body of the request
 	d.putConfig()
@@ -306,7 +313,7 @@
 			return err
 		}
 	}
-	crashed := crashUnder(d.servers, func(_ *http.Request, body string) bool { return body == harmful })
+	crashed := crashUnder(d.servers, os.Getenv("REFUSE") != "1", func(_ *http.Request, body string) bool { return body == harmful })
 	if err := d.start(); err != nil {
 		return err
 	}
@@ -318,16 +325,12 @@
 			lost.Add(1)
 		}
 	})
-	for i := range 30 {
-		path := fmt.Sprintf("/pule252/2f?try=%d", i)
-		if os.Getenv("EQUAL") == "1" {
-			path = "/pule252/2f?try=0"
-		}
+	for range 30 {
 		body := harmful
 		if !trouble {
 			body = "sound"
 		}
-		d.send(d.anyNode(), http.MethodPost, path, []byte(body), 1500*time.Millisecond)
+		d.send(d.anyNode(), http.MethodPost, "/pule252/2f", []byte(body), 1500*time.Millisecond)
 		time.Sleep(time.Second)
 	}
 	stop()
@@ -354,7 +357,7 @@
 			return err
 		}
 	}
-	crashed := crashUnder(d.servers, func(r *http.Request, _ string) bool {
+	crashed := crashUnder(d.servers, false, func(r *http.Request, _ string) bool {
 		return strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+harmful+":")
 	})
 	if err := d.start(); err != nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -42,6 +42,7 @@
 	engine  bool
 	// isHarmful says which requests crash the server when it begins to run them; nil for none.
 	isHarmful func(r *http.Request, body string) bool
+	dark      bool   // its connections stay open and silent after a crash, until it is back
 	onHarmful func() // crashes it and starts it again
 
 	mu       sync.Mutex
@@ -49,6 +50,7 @@
 	born     int64
 	sequence int
 	http     *http.Server // nil while it is down
+	conns    *connList    // of the lifetime
 	life     context.Context
 	end      context.CancelFunc
 	running  int
@@ -77,9 +79,9 @@
 	defer s.mu.Unlock()
 	s.born, s.sequence, s.running = time.Now().UnixMilli(), 0, 0
 	s.life, s.end = context.WithCancel(context.Background())
-	s.http = &http.Server{Handler: s}
-	h := s.http
-	go func() { _ = h.Serve(ln) }()
+	s.http, s.conns = &http.Server{Handler: s}, &connList{Listener: ln, reset: make(chan struct{})}
+	h, list := s.http, s.conns
+	go func() { _ = h.Serve(list) }()
 	s.d.log.line(s.id, "starts at %s with version %s, born %d", s.addr, s.version, s.born)
 }
 
@@ -94,6 +96,28 @@
 	s.d.log.line(s.id, "its process ends")
 }
 
+// goDark ends the server as a machine that has crashed: it sends nothing, to those that are connected
+// nor to those that try to connect, until the time is over. Then it starts again, and the connections
+// of the process before are reset.
+func (s *server) goDark(d time.Duration) error {
+	s.mu.Lock()
+	list, end := s.conns, s.end
+	s.http = nil
+	s.mu.Unlock()
+	_ = list.Close()
+	unanswered, err := silentListener(s.addr)
+	if err != nil {
+		return err
+	}
+	end()
+	s.d.log.line(s.id, "it sends nothing any more")
+	time.Sleep(d)
+	unanswered()
+	err = s.restart(s.version)
+	list.resetAll()
+	return err
+}
+
 // restart starts the server again under its id and address.
 func (s *server) restart(version string) error {
 	ln, err := net.Listen("tcp", s.addr)
@@ -140,7 +164,7 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	life, version := s.life, s.version
+	life, version, reset := s.life, s.version, s.conns.reset
 	s.mu.Unlock()
 	switch r.URL.Path {
 	case "/health":
@@ -195,6 +219,7 @@
 	if harmful {
 		go s.onHarmful()
 		<-life.Done()
+		s.awaitReset(reset)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Response-Stamp", stamp(id))
@@ -203,11 +228,22 @@
 		return
 	}
 	if !pause(ctx, s.work) {
+		if life.Err() != nil {
+			s.awaitReset(reset)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(w, answerText(id)) // the node may have gone
 }
 
+// awaitReset waits, if the server goes dark when it crashes, until the connections of the lifetime
+// are reset.
+func (s *server) awaitReset(reset <-chan struct{}) {
+	if s.dark {
+		<-reset
+	}
+}
+
 // answerText returns the body of a plain service's answer.
 func answerText(id string) string { return "done " + id }
 
