--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -105,12 +105,12 @@
 	s.http = nil
 	s.mu.Unlock()
 	_ = list.Close()
+	end()
+	s.d.log.line(s.id, "it sends nothing any more")
 	unanswered, err := silentListener(s.addr)
 	if err != nil {
 		return err
 	}
-	end()
-	s.d.log.line(s.id, "it sends nothing any more")
 	time.Sleep(d)
 	unanswered()
 	err = s.restart(s.version)
