--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -186,7 +186,7 @@
 // upgradeInPlace: engines start again under their ids with another software version, one after the
 // other, while the store is down.
 func upgradeInPlace(d *deployment, trouble bool) error {
-	const streams = 48
+	const streams = 64
 	d.putConfig()
 	var engines []*server
 	for i := range 4 {
