--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -118,6 +118,22 @@
 	return err
 }
 
+// Of prompts, in tokens.
+const (
+	promptTokens = 1460
+	partTokens   = 20 // of a part that isn't the last
+)
+
+// prompt returns the X-Prompt-Prefix of a prompt, which ends with a part of the request's own.
+func prompt(parts []string, last string) string {
+	var b strings.Builder
+	for _, id := range parts {
+		fmt.Fprintf(&b, "%s:%d,", id, partTokens)
+	}
+	fmt.Fprintf(&b, "%s:%d", last, promptTokens-len(parts)*partTokens)
+	return b.String()
+}
+
 // takeUp is a caller's attempts to take up a stream after one break.
 type takeUp struct {
 	at       time.Time // of the first of them
@@ -211,7 +227,7 @@
 	}
 	req.Host = host
 	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Model": "m", "X-Token-Usage": fmt.Sprintf("1460,%d", stride*events), "X-Prompt-Prefix": "5c1e07a2:800," + id[8:] + ":410",
+		"X-Request-Id": id, "X-Model": "m", "X-Token-Usage": fmt.Sprintf("%d,%d", promptTokens, stride*events), "X-Prompt-Prefix": prompt(d.shared, id[8:]),
 		"X-Deadline-Ms": strconv.FormatInt(time.Until(deadline).Milliseconds(), 10), "Authorization": "Bearer " + key, "Connection": "close", "User-Agent": "",
 	} {
 		req.Header.Set(name, value)
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -347,15 +348,19 @@
 	return nil
 }
 
-// crashingPart: a part of prompts crashes each engine that begins to write an answer on it. The
-// prompts have as many other parts as the environment's PARTS says, all before it and no two alike,
-// and a last part of their own.
+// crashingPart: a part of prompts crashes each engine that begins to write an answer on it. Before it
+// stand as many parts as the environment's PARTS says, which sound prompts share; the last part of a
+// prompt is its own.
 func crashingPart(d *deployment, trouble bool) error {
 	const harmful = "0bad" // id of the part
 	others, err := strconv.Atoi(cmp.Or(os.Getenv("PARTS"), "40"))
 	if err != nil {
 		return err
 	}
+	d.shared = nil
+	for i := range others {
+		d.shared = append(d.shared, fmt.Sprintf("%x", 0x10000+i))
+	}
 	d.putConfig()
 	for i := range 4 {
 		if _, err := d.newServer(fmt.Sprintf("i-llm-%d", i), "llm-desk", "v1", true); err != nil {
@@ -384,15 +389,11 @@
 		}
 	})
 	for i := range 30 {
-		parts := ""
-		for k := range others {
-			parts += fmt.Sprintf("%x:30,", 0x10000+i*0x100+k)
-		}
+		parts := d.shared
 		if trouble {
-			parts += harmful + ":30,"
+			parts = append(slices.Clone(parts), harmful)
 		}
-		parts += fmt.Sprintf("%x:410", 0xf0000+i)
-		d.send(d.anyNode(), http.MethodPost, "/lohu930/2f", []byte(fmt.Sprintf("draft %d", i)), 3*time.Second, "X-Model: m", "X-Token-Usage: 1700,80", "X-Prompt-Prefix: "+parts)
+		d.send(d.anyNode(), http.MethodPost, "/lohu930/2f", []byte(fmt.Sprintf("draft %d", i)), 3*time.Second, "X-Model: m", fmt.Sprintf("X-Token-Usage: %d,80", promptTokens), "X-Prompt-Prefix: "+prompt(parts, fmt.Sprintf("%x", 0xf0000+i)))
 		time.Sleep(500 * time.Millisecond)
 	}
 	stop()
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -52,6 +52,7 @@
 	servers  []*server
 	serverIP string
 	nodes    []*node
+	shared   []string // ids of the parts that all prompts share
 
 	mu   sync.Mutex
 	runs []run
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{root: root, dir: dir, log: log, zones: []string{"khomas-a", "khomas-b", "khomas-c"}}
+	d := &deployment{root: root, dir: dir, log: log, zones: []string{"khomas-a", "khomas-b", "khomas-c"}, shared: []string{"5c1e07a2"}}
 	for range 50 {
 		prefix := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 		if portsFree(prefix+".1") && portsFree(prefix+".2") && portsFree(prefix+".3") {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -142,6 +142,7 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
+	w.Header().Set("Store-Era", "1")
 	s.mu.Lock()
 	busy := s.busy
 	s.mu.Unlock()
