Log attempts of generations that fail without a stream, and whose header a stream has

Such attempts are logged as attempt-failed and retry, and the line of the request's end names the endpoint whose header the caller got.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,7 @@
 
 	events       int       // of a stream, sent to the caller
 	firstEventAt time.Time // when the first of them was sent
+	headerFrom   string    // of a stream: id of the endpoint whose header the caller gets; empty if none was sent
 }
 
 // describeEnd describes a response that has ended at the time now.
@@ -77,6 +78,9 @@
 	if req.events > 0 {
 		text += fmt.Sprintf(" with %d events, the first after %s", req.events, req.firstEventAt.Sub(req.Arrived).Round(time.Millisecond))
 	}
+	if req.headerFrom != "" {
+		text += ", under the header of " + req.headerFrom
+	}
 	return text
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -163,6 +163,7 @@
 	rr.mayHaveRun = true
 	if g.header == nil {
 		g.header = s.cfg.Dialect.CallerHeader(resp.Header)
+		rr.req.headerFrom = g.endpoint.ID
 	}
 	if resp.Status != http.StatusOK {
 		return g.passResponse(resp)
@@ -232,6 +233,7 @@
 	if err != nil {
 		g.lastErr = &relay.LostError{Addr: g.endpoint.Addr, Err: err}
 		s.recordFailure(g.ctx, g.endpoint, g.lastErr)
+		s.record("attempt-failed", g.routed.req, g.endpoint.ID, fmt.Sprintf("status %d, and its body: %v", resp.Status, g.lastErr))
 		return false
 	}
 	defer s.bodies.release(body)
@@ -240,6 +242,8 @@
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
 		g.header = nil
+		g.routed.req.headerFrom = ""
+		s.record("retry", g.routed.req, g.endpoint.ID, "the generation needs another attempt: "+g.lastErr.Error())
 		return false
 	}
 	writeResponse(g.out, &bufferedResponse{status: resp.Status, header: s.cfg.Dialect.CallerHeader(resp.Header), body: body})
