entry: send a stream under the header of the response that brought its first event

A generation kept the header of the first response that arrived, and dropped it only if that response was a failure whose body was read whole.

The header is now taken from the response whose first event is about to be sent. Comments before that event are held back with it, up to 16 KB, as an attempt that breaks off behind a comment is replaced by another one too. Comments do not count as events, so a stream that ends with its connection after comments only is not complete.

--- a/entry/evacuate_test.go
+++ b/entry/evacuate_test.go
@@ -35,7 +35,7 @@
 	go func() {
 		for range events {
 			g.recordEvent(seg)
-			if err := g.writeEvent(relay.Event{ID: "1"}); err != nil {
+			if err := g.writeEvent(relay.Event{ID: "1"}, &relay.Response{}); err != nil {
 				done <- err
 				return
 			}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -17,6 +17,7 @@
 	engineConnectTimeout = 300 * time.Millisecond // after which an engine counts as unreachable
 	maxStreamAttempts    = 12                     // of one generation, refused ones included
 	minLoggedPause       = 150 * time.Millisecond // between two events
+	maxPrelude           = 16 << 10               // bytes of comments that are held back until the first event
 )
 
 // generation is a generation in flight and its stream to the caller.
@@ -40,7 +41,8 @@
 	placedAt      time.Time      // when the last place without a copy was reserved
 	// pendingAtPlacement is the pending prompt of that engine then, this generation's included.
 	pendingAtPlacement int
-	header             http.Header // for the caller, from the first endpoint's response
+	header             http.Header // that the caller has, from the response that brought its first event
+	prelude            []byte      // comments of the response that is being read, before the first event that the caller gets
 	attempts           int
 	refusals           int
 	lastErr            error
@@ -161,10 +163,6 @@
 	defer resp.Close()
 	g.attempts++
 	rr.mayHaveRun = true
-	if g.header == nil {
-		g.header = s.cfg.Dialect.CallerHeader(resp.Header)
-		rr.req.headerFrom = g.endpoint.ID
-	}
 	if resp.Status != http.StatusOK {
 		return g.passResponse(resp)
 	}
@@ -241,8 +239,6 @@
 	s.recordOutcome(g.endpoint.ID, resp.Status < http.StatusInternalServerError)
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
-		g.header = nil
-		g.routed.req.headerFrom = ""
 		s.record("retry", g.routed.req, g.endpoint.ID, "the generation needs another attempt: "+g.lastErr.Error())
 		return false
 	}
@@ -258,6 +254,7 @@
 	seg := g.startSegment(resp)
 	defer g.endSegment(seg)
 	events := relay.NewEventReader(resp)
+	g.prelude = nil
 	joined := g.lastEventID == "" // no event precedes the segment, or its first one follows the last of those
 	for {
 		event, err := events.Next()
@@ -268,14 +265,14 @@
 			err = checkFollows(event.ID, g.lastEventID)
 			joined = true
 		}
-		if err == nil {
+		if err == nil && !event.IsComment() {
 			g.recordEvent(seg)
 		}
 		if err == nil && seg.events == minSoundEvents || errors.Is(err, io.EOF) && !resp.UntilClose {
 			s.reportOutput(g.routed)
 		}
 		if err == nil || errors.Is(err, io.EOF) && !g.headerSent {
-			if writeErr := g.writeEvent(event); writeErr != nil {
+			if writeErr := g.writeEvent(event, resp); writeErr != nil {
 				g.out.Abort()
 				return true
 			}
@@ -294,13 +291,25 @@
 	}
 }
 
-// writeEvent sends an event to the caller, after the header if that has not been
-// sent yet.
-func (g *generation) writeEvent(event relay.Event) error {
+// writeEvent sends an event of a response to the caller. The first one is sent after the header of
+// the same response and the comments before it: until then the attempt may fail, and the caller
+// must get no part of a response that another attempt replaces.
+func (g *generation) writeEvent(event relay.Event, resp *relay.Response) error {
 	if !g.headerSent {
+		if event.IsComment() && len(event.Raw) > 0 && len(g.prelude)+len(event.Raw) <= maxPrelude {
+			g.prelude = append(g.prelude, event.Raw...)
+			return nil
+		}
 		g.headerSent = true
+		g.header = g.server.cfg.Dialect.CallerHeader(resp.Header)
+		g.routed.req.headerFrom = g.endpoint.ID
 		g.pin()
 		g.out.Start(http.StatusOK, g.header, -1)
+		if len(g.prelude) > 0 {
+			if err := g.out.Write(g.prelude); err != nil {
+				return err
+			}
+		}
 	}
 	if event.ID != "" {
 		g.lastEventID = event.ID
