entry: reject a response without framing that holds a second one

A body that ends with its connection is searched for the head of a response. As all answers echo the id of a request, a head that names one, that the body cuts off, or with which a line of an event stream begins, is taken for a second answer: the attempt is lost, and repeated where the route allows it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,6 +141,9 @@
 type Dialect interface {
 	// Encode returns the request that is sent to the endpoint of an attempt.
 	Encode(a Attempt) relay.Request
+	// RequestID returns the id of the request to which a response belongs, by its header; empty if
+	// that names none.
+	RequestID(h http.Header) string
 	// Verdict interprets the status and header of an endpoint's response.
 	Verdict(a Attempt, status int, h http.Header) Verdict
 	// CallerHeader returns the header for the caller from that of an endpoint's
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -261,6 +261,9 @@
 		if errors.Is(err, io.EOF) && resp.UntilClose {
 			err = g.unframedEnd(seg, resp)
 		}
+		if err == nil && resp.UntilClose && s.holdsResponse(event.Raw, true) {
+			err = &relay.SecondResponseError{Addr: g.endpoint.Addr}
+		}
 		if err == nil && !joined && !event.IsComment() {
 			err = checkFollows(event.ID, g.lastEventID)
 			joined = true
--- a/entry/unframed.go
+++ b/entry/unframed.go
@@ -48,13 +48,31 @@
 	return r.DelayFrom(now), r.OK()
 }
 
+// holdsResponse reports whether a part of a body that ends with its connection holds the head of
+// another response. Load pattern: servers that stutter answer a request twice on its connection, the
+// second time late. All answers of a server echo the id of a request. A head that the body cuts off may have lost
+// it, and no event of a stream begins with one.
+func (s *Server) holdsResponse(part []byte, stream bool) bool {
+	for h := range relay.Heads(part) {
+		if h.Cut || stream && h.LineStart || s.cfg.Dialect.RequestID(h.Header) != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // readWhole reads the whole body of a response, whose memory the caller releases.
 func (s *Server) readWhole(ctx context.Context, e fleet.Endpoint, resp *relay.Response) ([]byte, error) {
 	body, err := s.bodies.read(resp)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.confirmEnd(ctx, e, resp); err != nil {
+	if resp.UntilClose && s.holdsResponse(body, false) {
+		err = &relay.SecondResponseError{Addr: e.Addr}
+	} else {
+		err = s.confirmEnd(ctx, e, resp)
+	}
+	if err != nil {
 		s.bodies.release(body)
 		return nil, err
 	}
