origin: hand over the origins of streams before a node ends

The holders of a stream were told when it began and never again, so that after one round of restarts no node knew it.

A stopping node now sends its records to the nodes that are their holders without it, a batch in each tick, and asks them for the record; it ends when each has said that it holds it, or its grace period is over. Records that it learns while it stops are handed over too. Messages stay as they are, so older builds answer.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -12,6 +12,8 @@
 // Invariants:
 //   - A record never changes: the version of a stream is that of its first event.
 //   - A record is kept for at least originTTL at each holder that does not end.
+//   - A node that stops hands its records to the other nodes that are their holders without it, and
+//     they confirm them before it ends, if they answer in its grace period.
 //   - Each OriginAsked leads to one OriginFound, after joinAskTTL at the latest.
 //   - What a node begins or asks before it has joined is told or asked again as it learns of
 //     other nodes.
@@ -81,7 +83,9 @@
 	asks      map[string]ask // by id
 	startedAt time.Time      // first Tick; zero before
 	early     []*wire.Began  // streams that this node began before it had joined
-	owners    int            // members that may be holders, at the last Tick
+	owners    int            // members that may be holders, at the last Tick; while stopping without this node
+	stopping  bool
+	transfers map[string]transfer // by request: records that are not handed over; nil unless stopping
 }
 
 // joined reports whether this node has run for joinTime.
@@ -106,6 +110,8 @@
 		return v.tick(now, member.Of(s))
 	case kernel.StreamBegan:
 		return v.begin(now, member.Of(s), &wire.Began{Request: e.Request, Service: e.Service, Version: e.Version})
+	case kernel.Stopping:
+		return v.withTransfers(), nil
 	case kernel.OriginAsked:
 		return v.ask(now, member.Of(s), e)
 	case kernel.FrameReceived:
@@ -117,6 +123,9 @@
 			found := &wire.Found{Ask: body.Seek.GetAsk(), Known: known, Service: r.service, Version: r.version}
 			return v, []kernel.Effect{kernel.Send{To: e.From, Frame: &wire.Frame{Body: &wire.Frame_Found{Found: found}}}}
 		case *wire.Frame_Found:
+			if node, request, ok := parseTransferID(body.Found.GetAsk()); ok {
+				return v.confirm(member.Of(s), node, request, body.Found.GetKnown()), nil
+			}
 			return v.answer(now, body.Found)
 		}
 	}
@@ -128,9 +137,9 @@
 	if _, known := v.get(b.GetRequest()); known {
 		return v
 	}
-	next := *v
-	next.recent = v.recent.Set(b.GetRequest(), record{service: b.GetService(), version: b.GetVersion()})
-	return &next
+	next, r := *v, record{service: b.GetService(), version: b.GetVersion()}
+	next.recent = v.recent.Set(b.GetRequest(), r)
+	return next.withTransfer(b.GetRequest(), r)
 }
 
 // tell returns the effects that tell the holders of a stream.
@@ -200,6 +209,9 @@
 	}
 	joined := next.joined(now)
 	next.owners = len(m.Owners())
+	if v.stopping && slices.Contains(m.Owners(), m.Self().GetId()) {
+		next.owners--
+	}
 	again := !joined && next.owners != v.owners
 	if again {
 		for _, b := range v.early {
@@ -212,6 +224,8 @@
 	if len(v.asks) > 0 {
 		next.asks = maps.Clone(v.asks)
 	}
+	transfers, sends := next.sendTransfers(now, m)
+	next.transfers, effects = transfers, append(effects, sends...)
 	for _, id := range slices.Sorted(maps.Keys(v.asks)) {
 		a := v.asks[id]
 		switch {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,8 @@
 	joinTimeout = 20 * time.Second
 	settleTime  = 3 * time.Second         // from the start of a node until it takes the members that it knows for all
 	askTime     = 20 * time.Millisecond   // in which a question is answered
+	stopTime    = 8 * time.Second         // in which a stopping node hands over its records
+	startTime   = 1500 * time.Millisecond // from the start of a node until the next ones stop
 	aloneTime   = 1500 * time.Millisecond // in which a node that knows no other answers itself
 )
 
@@ -187,3 +190,54 @@
 	t.Logf("%.0f bytes a second and node for %d streams a second", cost, streamsPerNode)
 	qt.Assert(t, cost < controlBudget, qt.IsTrue)
 }
+
+// stopAll makes nodes stop at the same time, ends each of them as soon as it has handed over its
+// records, and starts them again.
+func (n *network) stopAll(t *testing.T, nodes []int) {
+	t.Helper()
+	for _, i := range nodes {
+		n.Step(i, kernel.Stopping{})
+	}
+	stopped := n.RunUntil(stopTime, 50*time.Millisecond, func() bool {
+		for _, i := range nodes {
+			if n.Up(i) && origin.Of(n.State(i)).HandedOver() {
+				n.Kill(i)
+			}
+		}
+		return !slices.ContainsFunc(nodes, n.Up)
+	})
+	qt.Assert(t, stopped, qt.IsTrue, qt.Commentf("nodes %v have not handed over their records", nodes))
+	for _, i := range nodes {
+		n.Restart(i)
+	}
+	n.Run(startTime)
+}
+
+// TestRollingRestartKeepsOrigins guards against streams that no node knows any more after all nodes
+// have been restarted, in turn or several at a time, also if messages are lost.
+func TestRollingRestartKeepsOrigins(t *testing.T) {
+	for _, test := range []struct{ nodes, together int }{{2, 1}, {4, 1}, {4, 2}, {27, 1}, {27, 6}, {77, 16}} {
+		t.Run(fmt.Sprintf("%d nodes, %d at a time", test.nodes, test.together), func(t *testing.T) {
+			n := newNetwork(t, test.nodes)
+			messages := 0
+			n.Partition(func(from, to int) bool { messages++; return messages%20 == 0 })
+			var requests []string
+			for i := range 3 * test.nodes {
+				requests = append(requests, fmt.Sprint("r", i))
+				n.begin(i%test.nodes, requests[i])
+			}
+			n.Run(10 * time.Millisecond)
+			var order []int
+			for i := range test.nodes {
+				order = append(order, i)
+			}
+			for group := range slices.Chunk(order, test.together) {
+				n.stopAll(t, group)
+			}
+			n.Partition(nil)
+			for i, request := range requests {
+				n.assertKnown(t, i%test.nodes, request)
+			}
+		})
+	}
+}
