entry: confirm the process of an engine before a stream goes on there

That record lasts as long as the store is away, and a second or so otherwise.

Before an attempt that continues a stream, the engine is asked for its report, which says when its process started; if that is not the recorded process, or not known while the store is not read or the last connection to the engine failed, the next engine is tried. Streams that callers may take up begin on a doubtful engine only if it is confirmed, so their version is that of the process. Copies are exempt, as they end with their process.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,7 @@
 //     not run it.
 //   - The caller receives the events of a stream in order, each once and whole.
 //   - A stream that its caller may take up again begins at a version that the store's record names,
-//     and goes on at that version only.
+//     and goes on at that version only: at a process that its engine's record describes.
 package entry
 
 import (
@@ -135,6 +135,8 @@
 	RateLimit string
 	// Cold is as in Verdict.
 	Cold string
+	// StartMillis is the start of the process that answered, Unix milliseconds; 0 if it does not say.
+	StartMillis int64
 }
 
 // Dialect is the protocol of the endpoints.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -148,7 +148,7 @@
 // has gone.
 func (g *generation) attempt() bool {
 	s, rr := g.server, g.routed
-	if g.endStalePlacement(time.Now()) || g.endUnrecorded(s.view()) {
+	if g.endStalePlacement(time.Now()) || g.endUnrecorded(s.view()) || g.endReplaced(time.Now()) {
 		return false
 	}
 	rr.tried = append(rr.tried, g.endpoint.ID)
