entry: end a stream that broke after an event without an id

On routes that may be resumed, a caller got a 200 whose body held the first events of one engine and then the whole stream of another: an event without an id does not move the point from which the next attempt continues, so that engine began from the start, or after the last event that had an id. The same class of fault as a header of another attempt: a part of a response that another attempt replaces has reached the caller.

In a run with another engine of three events the body held the events a, b, a, b, c. The platform's events have ids, so that only a faulty engine does this.

Now no further attempt follows such an event, and the stream breaks off visibly, also where a migration would continue it. An event without an id at the start of a continuation was rejected already (checkFollows).

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -43,6 +43,7 @@
 	pendingAtPlacement int
 	header             http.Header // that the caller has, from the response that brought its first event
 	prelude            []byte      // comments of the response that is being read, before the first event that the caller gets
+	unnumbered         bool        // the caller has an event without an id, so that no engine can go on exactly after it
 	attempts           int
 	refusals           int
 	lastErr            error
@@ -110,6 +111,10 @@
 // copy, an engine with room if the request has not run or the route allows retries. It reports false if no further attempt is possible.
 func (g *generation) nextEndpoint() bool {
 	s, rr := g.server, g.routed
+	if g.unnumbered {
+		g.lastErr = errors.Wrap(g.lastErr, "the caller has an event without an id, after which the stream cannot go on")
+		return false
+	}
 	if dest := g.movedTo; dest != nil && g.takesContinuation(dest) {
 		g.copyFrom, g.endpoint = &dest.copy, dest.endpoint
 		g.movedTo = nil
@@ -314,6 +319,7 @@
 			}
 		}
 	}
+	g.unnumbered = g.unnumbered || event.ID == "" && !event.IsComment()
 	if event.ID != "" {
 		g.lastEventID = event.ID
 		g.events++
