relay: take a cut head for a second response only if its line ends with CRLF

A whole response with neither a length nor chunks was rejected if its body ended with a line of text that ends like a status line, such as one of an access log ("GET /b HTTP/1.1 200 17"): the caller got 502 each time, and a route with retries asked further endpoints. The search took the line for the head of a second response that the body cuts off.

Endpoints end the lines of a head with CRLF and text mostly does not, so that a cut head counts only if its first line ends so. One that is whole still counts by the id in it.

--- a/relay/second.go
+++ b/relay/second.go
@@ -63,14 +63,16 @@
 // reports false if there is none: then the part begins with the first line that does not fit.
 func (h *Head) read(p []byte) (rest []byte, ok bool) {
 	h.Header, h.Cut = http.Header{}, true
-	_, rest, ok = bytes.Cut(p, []byte("\n"))
+	first, rest, ok := bytes.Cut(p, []byte("\n"))
 	if !ok {
 		return nil, false
 	}
 	for h.Cut {
 		line, next, whole := bytes.Cut(rest, []byte("\n"))
 		if !whole {
-			return nil, true // the body ends within this line
+			// The body ends within this line. A line of a log or a text may end like the first line of
+			// a head, but endpoints end that with CRLF.
+			return nil, bytes.HasSuffix(first, []byte("\r"))
 		}
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, value, field := bytes.Cut(line, []byte(":"))
--- a/relay/second_test.go
+++ b/relay/second_test.go
@@ -26,6 +26,7 @@
 		"line feeds":                  {"HTTP/1.1 200 OK\nX-Request-Id: r\n\n", []head{{"r", true, false}}},
 		"cut behind its first line":   {"HTTP/1.1 200 OK\r\n", []head{{"", true, true}}},
 		"cut within a field":          {"HTTP/1.1 200 OK\r\n" + fields + "X-Re", []head{{"r", true, true}}},
+		"line feeds, cut":             {"HTTP/1.1 200 OK\nX-Request-Id: r\n", nil},
 		"cut within its first line":   {"HTTP/1.1 200 O", nil},
 		"two":                         {"HTTP/1.1 500 X\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "\r\n", []head{{"", true, false}, {"r", true, false}}},
 		"behind lines without a head": {"HTTP/1.1 200 OK\r\nA: b\r\nno field, HTTP/1.1 200 OK\r\n" + fields + "\r\n", []head{{"r", false, false}}},
