poison: keep the traits of a crashed request that may explain the crash

The report of a crash holds 32 traits of a request, and the first ones were kept.

Of a request with more, those of the request itself are kept first, then those that are suspected of earlier crashes, those that have had no output, and the rest. Traits that sound requests share have had output, so the harmful one remains; size and number of the messages stay the same.

TestHarmfulTraitBehindManyOthers fails in two of six cases before (40 and 1,000 others with output; with 3 the report held all), and passes.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -27,6 +27,7 @@
 package poison
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -139,7 +140,7 @@
 		if len(e.Requests) == 0 {
 			return v, nil
 		}
-		report := truncated(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: e.Requests, own: e.Own})
+		report := truncated(crash{endpoint: e.Endpoint, service: e.Service, startMillis: e.StartMillis, requests: v.mostSuspect(e.Requests), own: e.Own})
 		next, effects := v.addCrash(now, m, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
@@ -231,6 +232,38 @@
 	return ok
 }
 
+// ownTraits is the number of a request's first traits that name the request itself.
+const ownTraits = 2
+
+// mostSuspect returns the requests of a crash with the traits first that are kept if there are more than
+// maxTraits: those of the request itself, those that are suspected of earlier crashes, those that are not
+// established, and the established ones. Load pattern: the trait that crashes endpoints follows dozens of
+// others, which sound requests share.
+func (v *View) mostSuspect(requests [][]uint64) [][]uint64 {
+	rank := func(t uint64) int {
+		switch {
+		case v.isEstablished(t):
+			return 2
+		case v.suspects(t):
+			return 0
+		}
+		return 1
+	}
+	list := slices.Clone(requests)
+	for i, traits := range list {
+		if len(traits) <= maxTraits {
+			continue
+		}
+		ranks := map[uint64]int{}
+		for _, t := range traits {
+			ranks[t] = rank(t)
+		}
+		list[i] = slices.Clone(traits)
+		slices.SortStableFunc(list[i][ownTraits:], func(a, b uint64) int { return cmp.Compare(ranks[a], ranks[b]) })
+	}
+	return list
+}
+
 // truncated returns a report with at most maxRequests requests and maxTraits traits of each.
 func truncated(c crash) crash {
 	var list [][]uint64
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -297,3 +298,29 @@
 		qt.Assert(t, n.notified[i], qt.HasLen, 0)
 	}
 }
+
+// TestHarmfulTraitBehindManyOthers guards against a trait that is no evidence, however many endpoints
+// crash, as requests have more traits than a report holds.
+func TestHarmfulTraitBehindManyOthers(t *testing.T) {
+	for _, others := range []int{3, 40, 1000} {
+		for _, output := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d others, with output %t", others, output), func(t *testing.T) {
+				n := newNetwork(t, 4)
+				var shared []uint64
+				for i := range others {
+					shared = append(shared, uint64(1000+i))
+				}
+				for i := range 4 {
+					if output {
+						n.Step(i, kernel.OutputSeen{Service: "model", Traits: shared})
+					}
+					n.crash(i, slices.Concat([]uint64{uint64(10 + i), uint64(20 + i)}, shared, []uint64{bad}))
+				}
+				qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, shared, []uint64{bad})...), qt.Equals, 4)
+				if output {
+					qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, shared)...), qt.Equals, 0)
+				}
+			})
+		}
+	}
+}
