entry: replace an attempt whose comments before the first event are too many

Found in review: comments beyond 16 KB before the first event started the response under the header of an attempt that then broke off, and the events came from another engine. Such an attempt now counts as lost before the caller has any part of it.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -273,6 +273,9 @@
 			err = checkFollows(event.ID, g.lastEventID)
 			joined = true
 		}
+		if err == nil && !g.headerSent && event.IsComment() && len(g.prelude)+len(event.Raw) > maxPrelude {
+			err = errors.Errorf("the response has more than %d bytes of comments before its first event", maxPrelude)
+		}
 		if err == nil && !event.IsComment() {
 			g.recordEvent(seg)
 		}
@@ -304,7 +307,7 @@
 // must get no part of a response that another attempt replaces.
 func (g *generation) writeEvent(event relay.Event, resp *relay.Response) error {
 	if !g.headerSent {
-		if event.IsComment() && len(event.Raw) > 0 && len(g.prelude)+len(event.Raw) <= maxPrelude {
+		if event.IsComment() && len(event.Raw) > 0 {
 			g.prelude = append(g.prelude, event.Raw...)
 			return nil
 		}
@@ -317,6 +320,7 @@
 			if err := g.out.Write(g.prelude); err != nil {
 				return err
 			}
+			g.prelude = nil
 		}
 	}
 	g.unnumbered = g.unnumbered || event.ID == "" && !event.IsComment()
--- a/entry/unframed.go
+++ b/entry/unframed.go
@@ -50,8 +50,9 @@
 
 // holdsResponse reports whether a part of a body that ends with its connection holds the head of
 // another response. Load pattern: servers that stutter answer a request twice on its connection, the
-// second time late. All answers of a server echo the id of a request. A head that the body cuts off may have lost
-// it, and no event of a stream begins with one.
+// second time late. A whole head counts if it has the id of a request, which all answers of a server
+// echo. In a stream it also counts at the start of a line, as no event has such a line. One that the
+// body cuts off counts, as its id may be missing.
 func (s *Server) holdsResponse(part []byte, stream bool) bool {
 	for h := range relay.Heads(part) {
 		if h.Cut || stream && h.LineStart || s.cfg.Dialect.RequestID(h.Header) != "" {
