--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector. Arguments are passed on to go test.
+# Runs all tests with the race detector, but for the known failures: it prints the lines
+# "skip: PATTERN" of KNOWN-RED.txt and passes over the tests that they name, as go test -skip
+# takes them. Arguments are passed on to go test.
 set -euo pipefail
 cd "$(dirname "$0")"
-exec go test -race -timeout 20m ./... "$@"
+skip=$(sed -n 's/^skip: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|') || true
+if [ -n "$skip" ]; then grep -n '^skip: ' KNOWN-RED.txt; fi
+exec go test -race -timeout 20m ${skip:+-skip "$skip"} ./... "$@"
