daemon: bound the responses that are polled

Callers of package front saw nothing yet; a node would have ended.

The library rejects a longer body before it reserves memory: 16 KiB for a load, 8 MiB for the list.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,7 +79,8 @@
 	documentEra atomic.Int64 // era of the store in which it was last found to hold the documents in force, or unknownEra
 	editor      *editor.Editor
 	peers       *peer.Transport
-	http        *fasthttp.Client
+	loadHTTP    *fasthttp.Client // for the load of engines
+	hostsHTTP   *fasthttp.Client // for the list of hosts
 	events      chan kernel.Event
 	state       atomic.Pointer[kernel.State]
 	requestSeq  atomic.Uint64                      // number of the latest request id
@@ -104,7 +105,8 @@
 func New(ctx context.Context, cfg Config) (*Daemon, error) {
 	d := &Daemon{
 		cfg:         cfg,
-		http:        &fasthttp.Client{MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true},
+		loadHTTP:    newPollClient(maxLoadBytes),
+		hostsHTTP:   newPollClient(maxHostsBytes),
 		events:      make(chan kernel.Event, eventQueueSize),
 		pending:     map[string]chan decision{},
 		origins:     map[string]chan kernel.OriginFound{},
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -25,7 +25,7 @@
 // kernel.
 func (d *Daemon) pollHosts(ctx context.Context) <-chan error {
 	return runPeriodically(ctx, hostsInterval, func() {
-		body, err := d.get("http://" + d.cfg.HostsAddr + "/v1/hosts")
+		body, err := get(d.hostsHTTP, "http://"+d.cfg.HostsAddr+"/v1/hosts")
 		if err == nil {
 			var hosts []host
 			if hosts, err = decodeHosts(body); err == nil {
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -16,6 +16,8 @@
 	hostsInterval = 2 * time.Second        // between two reads of the list of hosts
 	loadInterval  = time.Second            // between two reads of each engine's load
 	pollTimeout   = 900 * time.Millisecond // of one read; shorter than either interval
+	maxLoadBytes  = 16 << 10               // of one engine's report; all engines may be read at the same time
+	maxHostsBytes = 8 << 20                // of the list of hosts
 )
 
 // runPeriodically starts a goroutine that calls job at once and then at every
@@ -68,15 +70,23 @@
 
 func (d *Daemon) readLoad(ctx context.Context, t kernel.LoadTarget) {
 	var l load
-	if err := d.getJSON("http://"+t.Addr+"/v1/load", &l); err != nil {
+	if err := getJSON(d.loadHTTP, "http://"+t.Addr+"/v1/load", &l); err != nil {
 		klog.V(1).InfoS("Failed to read an engine's load; keeping its previous report", "endpoint", t.Endpoint, "err", err)
 		return
 	}
 	d.post(ctx, kernel.LoadRead{Service: t.Service, Endpoint: t.Endpoint, Load: kernel.EngineLoad(l)})
 }
 
-func (d *Daemon) getJSON(url string, v any) error {
-	body, err := d.get(url)
+// newPollClient returns a client that reads no response body of more than a number of bytes.
+// Load pattern: an engine's response never ends; without a bound, the node keeps what arrives
+// within pollTimeout, which can be more than its memory.
+func newPollClient(maxBody int) *fasthttp.Client {
+	return &fasthttp.Client{MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true, MaxResponseBodySize: maxBody}
+}
+
+// getJSON decodes the body of a response with status 200 into v.
+func getJSON(c *fasthttp.Client, url string, v any) error {
+	body, err := get(c, url)
 	if err != nil {
 		return err
 	}
@@ -84,13 +94,13 @@
 }
 
 // get returns the body of a response with status 200.
-func (d *Daemon) get(url string) ([]byte, error) {
+func get(c *fasthttp.Client, url string) ([]byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(url)
-	if err := d.http.DoTimeout(req, resp, pollTimeout); err != nil {
+	if err := c.DoTimeout(req, resp, pollTimeout); err != nil {
 		return nil, errors.Wrapf(err, "get %s", url)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
