assign: bound the responses of engines

The holder of a lock reads the models of engines without a bound. A length of 10^12 bytes in a head ended the process ("runtime: out of memory", TestEndlessModels/length without the bound). A body in chunks was read on after the time limit of the call, whose goroutine stays: TestEndlessModels/chunks without the bound did not end, and was stopped after 600 s.

A response may have 1 MiB now, and its reading ends after commandTimeout at the latest.

--- a/assign/reconcile.go
+++ b/assign/reconcile.go
@@ -18,6 +18,7 @@
 
 const (
 	reconcileInterval = time.Second     // also the timeout of reading an engine's models
+	maxResponseBytes  = 1 << 20         // of one engine's response; one is read at a time
 	commandTimeout    = 2 * time.Minute // an engine responds to a load command once the model is loaded
 )
 
@@ -40,7 +41,7 @@
 func New(cfg Config) *Reconciler {
 	return &Reconciler{
 		cfg:   cfg,
-		http:  &fasthttp.Client{RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }},
+		http:  &fasthttp.Client{MaxResponseBodySize: maxResponseBytes, ReadTimeout: commandTimeout, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }},
 		locks: map[string]*Lock{},
 	}
 }
