relay: bound reports, and tell second responses on kept connections

No caller saw this yet. A report whose bytes never end was kept up to 10,485,760 bytes of head or 1 MiB of body for each engine, with no bound on all; and a call for a report got the engine's second response to the call before. Both lie in net/http's transport: it reads any head up to its own bound, and gives a connection back before it looks for bytes behind the response.

Get has a client of its own. A call may read 8 KiB of heads and 128 KiB in all, and all calls together 1 MiB beyond the first 4 KiB of each, so that sound reports need none of it. A connection is closed if a byte has arrived behind the response, after it or before the next request is sent, which a read that does not wait shows. What arrives later is told by the id of the call: a response that states another one, or none where the endpoint stated one before, is rejected, and the call is made once more on a new connection. Reports on connections that are not kept have the same bounds; they carry no id. Other responses of engines to the node's own calls (copies of caches) may have 64 KiB in place of 1 MiB.

--- a/relay/head_test.go
+++ b/relay/head_test.go
@@ -48,7 +48,7 @@
 			return err
 		},
 		"Get": func() error {
-			_, err := c.Get(ctx, addr, "/")
+			_, err := c.Get(ctx, relay.KeptRequest{Addr: addr, Path: "/"})
 			return err
 		},
 		"Open": func() error {
--- a/relay/kept_test.go
+++ b/relay/kept_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	r, err := c.Get(ctx, addr, "/report")
+	r, err := c.Get(ctx, KeptRequest{Addr: addr, Path: "/report", IDHeader: "X-Id", ID: "own"})
 	qt.Assert(t, err, qt.IsNil)
 	return r
 }
@@ -70,4 +70,24 @@
 		}
 		qt.Assert(t, conns.Load(), qt.Equals, int32(3))
 	})
+	t.Run("late second response", func(t *testing.T) {
+		for _, second := range []string{"X-Id: other\r\n", ""} {
+			addr, conns := keptServer(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, buf, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer conn.Close()
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Length: 5\r\n\r\nfirst"))
+				if _, err := http.ReadRequest(buf.Reader); err == nil { // the next one
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + second + "Content-Length: 6\r\n\r\nsecond"))
+				}
+			})
+			c := NewClient(Config{})
+			for range 4 {
+				qt.Assert(t, string(get(t, c, addr).Body), qt.Equals, "first")
+			}
+			qt.Assert(t, conns.Load(), qt.Equals, int32(4))
+		}
+	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -52,7 +51,7 @@
 // next request on the connection would get. Only Get keeps connections.
 type Client struct {
 	cfg         Config
-	kept        *http.Client // for Get
+	kept        *keptConns // for Get
 	mu          sync.Mutex
 	hostClients map[string]*fasthttp.HostClient // by address
 }
@@ -62,7 +61,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = DialTCP
 	}
-	return &Client{cfg: cfg, kept: newKeptClient(cfg.Dial), hostClients: map[string]*fasthttp.HostClient{}}
+	return &Client{cfg: cfg, kept: newKeptConns(cfg.Dial), hostClients: map[string]*fasthttp.HostClient{}}
 }
 
 // NotSentError says that no byte of a request was sent to the endpoint.
