Reject records that lack a field, and responses without a server's stamp

Cause: decodeServer accepted a record without zone, version, cold-left-ms, sequence and born, so that the address in a record of another writer was used as a server; and nothing between the attempt and the caller asked whether a response came from a server.

A server's record must now have the nine fields that PROTOCOL.md, Service discovery, says it has, under their exact names, not null and in range. The configuration is rejected whole if a route lacks its host, prefix or service, a service or workspace its name, or if a key is empty; the record of a node if its address is not the one in its key. A rejected entry is logged and counted once per reason. The new metric is plantaindeck_entries_rejected_total.

Verdict.Unsigned says that a response is neither stamped nor states that the request was not run. Server.checkResponse, which all attempts pass, treats it as a lost response, whatever its status: the request is repeated where the route allows it and fails with 502 elsewhere. An unstamped 503 was passed on before, although it would promise that the request did not run. The new metric is plantaindeck_unsigned_responses_total.

The stand-ins of the tests write a version, as servers do.

--- a/entry/call.go
+++ b/entry/call.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// UnsignedError says that a response came from a program that is no endpoint of the deployment,
+// such as one that another writer has listed in the store, so that it is unknown what became of
+// the request.
+type UnsignedError struct {
+	Status int // of the response
+}
+
+// Error implements error.
+func (e *UnsignedError) Error() string {
+	return fmt.Sprintf("the response with status %d is not one of an endpoint of the deployment", e.Status)
+}
+
 // callEndpoint sends the request to the endpoint that was reserved for it, reads
 // the whole response and ends the reservation. The caller releases the memory of the body.
 func (s *Server) callEndpoint(ctx context.Context, rr *routedRequest, e fleet.Endpoint) (*bufferedResponse, error) {
@@ -189,11 +201,17 @@
 	return resp, nil
 }
 
-// checkResponse returns an error if the response belongs to another request or
-// says that the endpoint did not run this one, which was sent at sentAt. It heeds what the
-// endpoint says about requests to come.
+// checkResponse returns an error if the response is not one of an endpoint of the deployment,
+// belongs to another request or says that the endpoint did not run this one, which was sent at
+// sentAt. It heeds what the endpoint says about requests to come. All attempts end here before any
+// part of a response can reach a caller: those of plain services and of streams, continuations and
+// migrated generations, and those over connections that other nodes carry.
 func (s *Server) checkResponse(now time.Time, a Attempt, sentAt time.Time, resp *relay.Response) error {
 	v := s.cfg.Dialect.Verdict(a, resp.Status, resp.Header)
+	if v.Unsigned {
+		s.metrics.unsigned.Inc()
+		return &relay.LostError{Addr: a.Endpoint.Addr, Err: &UnsignedError{Status: resp.Status}}
+	}
 	if !v.AddressReused {
 		if rest := s.heedNotice(now, a.Endpoint, notice{leaving: v.Leaving, retryAfter: v.RetryAfter}); rest > 0 {
 			resp.ReportRest(rest)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,6 +116,7 @@
 // request.
 type Verdict struct {
 	NotRun        bool   // the endpoint did not run it and will not
+	Unsigned      bool   // the response is not one of an endpoint of the deployment that ran the request
 	OtherRequest  bool   // the response belongs to another request
 	AddressReused bool   // another server has taken over the endpoint's address
 	Leaving       bool   // the endpoint says that it is leaving
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,7 @@
 	crashes       *metrics.Counter
 	quarantined   *metrics.Counter
 	rejectedEarly *metrics.Counter
+	unsigned      *metrics.Counter
 }
 
 func newServerMetrics(set *metrics.Set, s *Server) *serverMetrics {
@@ -64,6 +65,7 @@
 		crashes:       set.GetOrCreateCounter("plantaindeck_endpoint_crashes_total"),
 		quarantined:   set.GetOrCreateCounter("plantaindeck_quarantined_requests_total"),
 		rejectedEarly: set.GetOrCreateCounter("plantaindeck_rejected_early_total"),
+		unsigned:      set.GetOrCreateCounter("plantaindeck_unsigned_responses_total"),
 		brokenStreams: set.GetOrCreateCounter("plantaindeck_broken_streams_total"),
 	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -95,6 +95,7 @@
 	eraSince      time.Time                // when a list of that era was first read
 	lastFailure   time.Time                // of a list or watch, or the change of the era; unlike Failing, counts a *store.CompactedError
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
+	rejected      map[string]string        // reasons why entries of the store cannot be used, by key
 	recordWritten bool                     // this node's record may be in the store; used by Register only
 	failing       atomic.Bool              // the last list or watch failed
 	saver         *saver
@@ -103,7 +104,7 @@
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, saver: newSaver(), versions: newVersions(cfg.FirstStart)}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, rejected: map[string]string{}, saver: newSaver(), versions: newVersions(cfg.FirstStart)}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
@@ -113,6 +114,7 @@
 
 // Run watches the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) <-chan error {
+	f.cfg.Daemon.Metrics().GetOrCreateCounter(rejectedMetric) // so that it is served before the first rejection
 	done := make(chan error, 1)
 	go func() {
 		f.follow(ctx)
@@ -282,6 +284,11 @@
 			continue
 		}
 		change := f.cfg.Decode(e)
+		if c, ok := change.(Unreadable); ok {
+			f.reject(e.Key, c.Endpoint, c.Err)
+		} else {
+			delete(f.rejected, e.Key)
+		}
 		if c, ok := change.(Endpoint); ok {
 			present[c.ID] = true
 			versions.endpoints = append(versions.endpoints, c.Record)
@@ -290,6 +297,9 @@
 			learned.Items = append(learned.Items, item)
 		}
 	}
+	if listed {
+		f.forgetRejected(r.Entries)
+	}
 	if len(read.List) > 0 {
 		f.cfg.Daemon.Post(ctx, read) // first, as the node serves callers once it has learned all items
 	}
@@ -317,7 +327,6 @@
 	case Evacuation:
 		return evacuationItem(c, v)
 	case Unreadable:
-		f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Endpoint: c.Endpoint, Detail: c.Err.Error()})
 		if c.Endpoint != "" {
 			return fleet.RemovedItem(c.Endpoint, v)
 		}
--- a/feed/node.go
+++ b/feed/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/store"
@@ -35,13 +36,19 @@
 func (f *Feed) updateNode(e store.Entry) {
 	if e.Deleted {
 		delete(f.nodesByKey, e.Key)
+		delete(f.rejected, e.Key)
 		return
 	}
 	var record nodeRecord
-	if err := json.Unmarshal(e.Value, &record); err != nil {
-		f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
+	err := errors.Wrap(json.Unmarshal(e.Value, &record), e.Key)
+	if err == nil {
+		err = record.check(e.Key)
+	}
+	if err != nil {
+		f.reject(e.Key, "", err)
 		return
 	}
+	delete(f.rejected, e.Key)
 	f.nodesByKey[e.Key] = &wire.Member{Id: record.Peer, Front: record.Front, Centre: record.Centre}
 }
 
--- a/feed/quarantine.go
+++ b/feed/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
@@ -134,7 +135,7 @@
 	}
 	q := &wire.Quarantine{}
 	if err := proto.Unmarshal(e.Value, q); err != nil {
-		f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
+		f.reject(e.Key, "", errors.Wrap(err, e.Key))
 		return nil, true
 	}
 	return q, true
--- a/feed/version.go
+++ b/feed/version.go
@@ -107,7 +107,7 @@
 		}
 		record, err := fleet.DecodeVersionRecord(e.Value)
 		if err != nil {
-			f.cfg.Daemon.Record(trace.Entry{Kind: "entry-unreadable", Detail: e.Key + ": " + err.Error()})
+			f.reject(e.Key, "", fmt.Errorf("%s: %w", e.Key, err))
 		}
 		k = k.WithRecord(service, record, e.Revision)
 	}
