relay: write the request's target as the caller sent it

Cause: URL.RequestURI, which http.Request.Write uses, puts the scheme before an Opaque that begins with two slashes. The relay now writes the request line, the header and the body itself. It rejects a method, target or host with spaces or control characters, as http.Request.Write did for the target.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,12 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -112,28 +113,16 @@
 // roundTrip writes the request and reads the header of the response at the same
 // time, as an endpoint may respond before it has read a long body.
 func roundTrip(conn net.Conn, r Request) (*Response, error) {
-	req := &http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI},
-		Host:          r.Host,
-		Header:        r.Header,
-		ContentLength: int64(len(r.Body)),
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
 	written := make(chan error, 1)
 	go func() {
 		w := bufio.NewWriterSize(conn, writeBufferSize)
-		err := req.Write(w)
+		err := writeRequest(w, r)
 		if err == nil {
 			err = w.Flush()
 		}
 		written <- err
 	}()
+	req := &http.Request{Method: r.Method}
 	limited := &io.LimitedReader{R: conn, N: maxHeaderSize}
 	br := bufio.NewReader(limited)
 	for range maxResponseHeads {
@@ -160,3 +149,38 @@
 	}
 	return nil, errors.New("endpoint sent only interim (1xx) responses")
 }
+
+// unforwardedHeaders are the headers that writeRequest writes itself or that concern the connection
+// to the caller.
+var unforwardedHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// writeRequest writes the request with its URI as it is. http.Request.Write does not: it takes a URI
+// that begins with two slashes for one that names another host, and writes that as an absolute one.
+func writeRequest(w *bufio.Writer, r Request) error {
+	for _, text := range []string{r.Method, r.URI, r.Host} {
+		if strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+			return errors.Errorf("%q is not valid in a request", text)
+		}
+	}
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, cmp.Or(r.URI, "/"), r.Host); err != nil {
+		return err
+	}
+	header := r.Header
+	if agent := r.Header["User-Agent"]; len(agent) == 1 && agent[0] == "" {
+		header = r.Header.Clone()
+		delete(header, "User-Agent")
+	}
+	if err := header.WriteSubset(w, unforwardedHeaders); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		if _, err := fmt.Fprintf(w, "Content-Length: %d\r\n", len(r.Body)); err != nil {
+			return err
+		}
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	_, err := w.Write(r.Body)
+	return err
+}
