daemon: TestEndlessPoll empties the pools of buffers before each case

The test failed once in a run beside other packages, and in each of 6 runs at the same time under the race detector (98,324 and 9,175,199 bytes read): the library keeps the buffer of an earlier response, and a read fills it, whatever the bound. That is no new memory. Each case starts with empty pools now, and the bound stays as it is; 6 runs at the same time, each 4 times with one and two processors, pass.

--- a/daemon/poll_test.go
+++ b/daemon/poll_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,8 @@
 		}()
 		for kind, maxBody := range map[string]int{"load": maxLoadBytes, "hosts": maxHostsBytes} {
 			t.Run(kind+" "+name, func(t *testing.T) {
+				runtime.GC() // twice, so that no pool holds the buffer of an earlier case, which would be filled
+				runtime.GC()
 				var read atomic.Int64
 				c := newPollClient(maxBody)
 				c.Dial = func(addr string) (net.Conn, error) {
