fleet: let the readers announce the routing table when members do not respond

A node gets changes from those nodes whose neighbour it is on the ring, and compares digests with its own neighbours. All of them may lose power at once. They are replaced when they have been declared dead, up to 5 s later, and the next ones on the ring may have lost power too.

A reader now announces the table to all members once a second for 4 s after a change of it, while two members or more do not respond. Who lacks the version fetches it from the reader. Readers have sessions to all members already, as they tell them of their contacts with the store. Reads of the store are the same.

--- a/fleet/announce.go
+++ b/fleet/announce.go
@@ -27,6 +27,9 @@
 	fetchRetryDelay   = 50 * time.Millisecond  // after all announcers have been busy, until they are asked again
 	readerFetchDelay  = 300 * time.Millisecond // for which a reader of the store waits for the item from there: several of its reads
 	readerContactTime = time.Second            // a reader without contact for longer fetches at once
+	announceInterval  = time.Second            // between two announcements of the routing table to all members; with a fetch, well within the 3 s in which a change must be in force
+	announceTime      = 4 * time.Second        // after a change of the table for which it is announced: the 3 s, and one more interval
+	minLosses         = 2                      // members that do not respond, from which on the readers announce the table to all members; a single one cuts off no other
 )
 
 // fetch is the state of an item of which a newer version has been announced than this
@@ -131,6 +134,36 @@
 	return effects
 }
 
+// announceTable announces the routing table to all members, if this node reads the store, the table
+// has changed of late, and some members do not respond. It announces the version that it held one
+// announceInterval before, which most nodes have by then; an answer to a Fetch holds the newest one
+// anyway. A node that has just begun to read, while several members do not respond, announces what it
+// has: no other node may have read that.
+//
+// Load pattern: when most nodes lose power at once, all nodes that would forward changes to a node,
+// and all with which it compares digests, may be among them. Until they are declared dead, which
+// takes seconds, and the same again for each of their successors, only the readers reach it. If
+// these announced each version to all at once, far nodes would wait for a large table from them
+// rather than fetch it from their neighbours, and all would be late.
+func (v *View) announceTable(now time.Time, s kernel.State) []kernel.Effect {
+	since := now.Sub(v.announcedAt)
+	r, known := v.records.get(tableItem)
+	if !known || since < announceInterval || !v.inContact(now, minContactTTL) || !ReadsStore(s, now) {
+		return nil
+	}
+	m := member.Of(s)
+	version := v.announceNext
+	v.announcedAt, v.announceNext = now, versionOf(r.item)
+	if since >= 2*announceInterval {
+		version = v.announceNext
+	}
+	if m.Unresponsive(now) < minLosses || now.Sub(r.receivedAt) >= announceTime {
+		return nil
+	}
+	a := &wire.Announce{Items: []*wire.Item{{Name: tableItem, Era: version.Era, Revision: version.Revision}}, Sizes: []uint32{uint32(len(r.item.GetBody()))}}
+	return m.SendTo(m.UsableIDs(), &wire.Frame{Body: &wire.Frame_Announce{Announce: a}})
+}
+
 // largeOf returns the large ones of the items.
 func largeOf(items []*wire.Item) []*wire.Item {
 	return slices.DeleteFunc(slices.Clone(items), func(item *wire.Item) bool { return !isLargeItem(item) })
@@ -261,6 +294,9 @@
 		return nil
 	}
 	items := []*wire.Item{held.item}
+	if !isLargeItem(held.item) {
+		return []kernel.Effect{v.sendItems(to, items)} // takes no link for long, and is not confirmed
+	}
 	_, again := v.large.uploads[to]
 	place := slices.IndexFunc(v.large.waiting, func(w waiter) bool { return w.id == to })
 	if place < 0 {
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -20,7 +20,7 @@
 	}
 	switch e := e.(type) {
 	case kernel.Tick:
-		return v.tick(now, member.Of(s))
+		return v.tick(now, s)
 	case kernel.ItemsLearned:
 		next, effects := v.learn(now, member.Of(s), "", e.Items, e.Complete)
 		next.contactAt, next.lastContact, next.contactLostAt = now, now, time.Time{}
@@ -320,7 +320,8 @@
 	return []kernel.Effect{v.sendItems(to, items)}
 }
 
-func (v *View) tick(now time.Time, m *member.View) (*View, []kernel.Effect) {
+func (v *View) tick(now time.Time, s kernel.State) (*View, []kernel.Effect) {
+	m := member.Of(s)
 	next := *v
 	next.setGroup(now, loadGroupOf(m))
 	if next.startedAt.IsZero() {
@@ -345,6 +346,7 @@
 		next.contactSentAt = now
 		effects = append(effects, v.sendContact(now, m)...)
 	}
+	effects = append(effects, next.announceTable(now, s)...)
 	if isLarge(m) && now.Sub(v.changesSentAt) >= changesInterval {
 		effects = append(effects, next.sendChanges(now, m)...)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -34,6 +34,8 @@
 	probeInterval      = time.Second            // between two probes of a neighbour
 	directProbeTimeout = time.Second            // time without a response to a probe after which other members are asked to probe
 	probeTimeout       = 2 * time.Second        // time without a response to a probe after which the member is suspected
+	unresponsiveTime   = 500 * time.Millisecond // time without a response to a probe after which a neighbour counts as unresponsive
+	recentDeathTime    = 10 * time.Second       // time after its death was learned for which a member counts as unresponsive
 	suspicionTimeout   = 2 * time.Second        // time without a refutation after which a suspected member is declared dead
 	maxTickGap         = 600 * time.Millisecond // between two Ticks; a longer gap means that this process was paused
 	joinInterval       = 3 * time.Second        // between two pings to seeds and dead members
@@ -247,6 +249,29 @@
 	return a.GetState() > b.GetState()
 }
 
+// Unresponsive returns the number of members that have not responded of late, as far as this node
+// knows: neighbours that have not answered a probe for some time, and members that are suspected or
+// have been declared dead in the last seconds.
+func (v *View) Unresponsive(now time.Time) int {
+	count := 0
+	for id, p := range v.probes {
+		if v.peers[id].Member.GetState() == wire.State_ALIVE && now.Sub(p.sentAt) >= unresponsiveTime {
+			count++
+		}
+	}
+	for _, id := range v.unsettled {
+		switch p := v.peers[id]; p.Member.GetState() {
+		case wire.State_SUSPECT:
+			count++
+		case wire.State_DEAD:
+			if now.Sub(p.Since) < recentDeathTime {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // rebuildIndex recomputes the lists and the digest that are derived from peers.
 func (v *View) rebuildIndex(now time.Time) {
 	v.owners = nil
