--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -88,7 +88,7 @@
 // at the users' target size:
 //
 //	go test ./fleet -run TestControlCost -v -cost.nodes 400 -timeout 10m
-var costNodes = flag.Int("cost.nodes", 100, "nodes of the largest deployment in the cost tests and in TestStoreServesFewNodes")
+var costNodes = flag.Int("cost.nodes", 100, "nodes of the largest deployment in the cost tests, in TestStoreServesFewNodes and in TestTableReachesNodesAfterPowerLoss")
 
 // TestControlCost checks that the messages between the nodes of a deployment of 100
 // or more nodes stay within the target of bytes per second and node. For smaller
