origin: send the records first that have waited longest

A stopping node never handed over most of its records if one of their holders gave no answers: it sends 50 records in a tick and sends unconfirmed ones again after 400 ms, always beginning with the first by name, so that the first 200 that stay unconfirmed took all turns. Callers could not take up the other streams after the node had ended.

Records are now sent in the order of the time at which they were last sent, the unsent ones first.

TestSilentHolderDelaysNoOthers (600 records, one of three holders out of reach) fails without the change: the other two hold 200 after 4 s of simulated time. It passes with it.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -241,3 +241,20 @@
 		})
 	}
 }
+
+// TestSilentHolderDelaysNoOthers guards against records that a stopping node never sends, as it sends
+// those again and again that a node without answers does not confirm.
+func TestSilentHolderDelaysNoOthers(t *testing.T) {
+	const streams = 600
+	n := newNetwork(t, 4)
+	n.Partition(func(from, _ int) bool { return from == 0 })
+	for i := range streams {
+		n.begin(0, fmt.Sprint("r", i))
+	}
+	n.Run(10 * time.Millisecond)
+	n.Partition(func(from, to int) bool { return from == 0 && to == 3 })
+	n.Step(0, kernel.Stopping{})
+	n.Run(4 * time.Second)
+	qt.Assert(t, origin.Of(n.State(1)).Len(), qt.Equals, streams)
+	qt.Assert(t, origin.Of(n.State(2)).Len(), qt.Equals, streams)
+}
--- a/origin/transfer.go
+++ b/origin/transfer.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -108,7 +109,11 @@
 	next := kernel.CloneMap(v.transfers)
 	var effects []kernel.Effect
 	sent := 0
-	for _, request := range slices.Sorted(maps.Keys(v.transfers)) {
+	// Those that have waited longest come first: one holder without answers may leave many unconfirmed.
+	order := slices.SortedFunc(maps.Keys(v.transfers), func(a, b string) int {
+		return cmp.Or(next[a].sentAt.Compare(next[b].sentAt), cmp.Compare(a, b))
+	})
+	for _, request := range order {
 		t := next[request]
 		if !t.sentAt.IsZero() && now.Sub(t.sentAt) < transferRetry {
 			continue
