entry: abort a stream that ends because its caller seems to have left

Callers that close the sending side of their connection after a stream has begun, and still read, took a part of it for the whole: they got status 200, the events so far and a proper end, in HTTP/1.0 and 1.1.

net/http ends the context of such a request, the attempt at the engine ends with it, and the handler returned without an error, so that net/http wrote the end of the response. A generation whose caller has gone now aborts a response that has begun, as it does when a write fails.

TestHalfClosedWithinStream fails in both cases without the change (1 event of 60 looks complete, HTTP/1.0 and 1.1) and passes in three of three runs.

--- a/entry/continuation.go
+++ b/entry/continuation.go
@@ -54,5 +54,5 @@
 	g.lastErr = &relay.LostError{Addr: g.endpoint.Addr, Err: cause}
 	g.server.recordFailure(g.ctx, g.endpoint, g.lastErr)
 	g.server.record("attempt-failed", g.routed.req, g.endpoint.ID, g.lastErr.Error())
-	return callerGone(g.ctx)
+	return g.endIfCallerGone()
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -225,7 +225,17 @@
 	}
 	g.server.record("attempt-failed", g.routed.req, g.endpoint.ID, err.Error())
 	g.checkCrash(err)
-	return callerGone(g.ctx)
+	return g.endIfCallerGone()
+}
+
+// endIfCallerGone reports whether the caller has gone. It then aborts a response that has begun, as a
+// caller that has only closed its sending side still reads and would take it for a whole one.
+func (g *generation) endIfCallerGone() bool {
+	gone := callerGone(g.ctx)
+	if gone && g.headerSent {
+		g.out.Abort()
+	}
+	return gone
 }
 
 // passResponse sends the caller a response that is not a stream. It reports
@@ -297,7 +307,7 @@
 		}
 		if err != nil {
 			g.handleBreak(seg, err)
-			return callerGone(g.ctx)
+			return g.endIfCallerGone()
 		}
 	}
 }
