entry: use an engine that is silent for a moment, as before

Now only an engine that answers nothing while this node does not read the store is passed over, and one that cannot be reached at all is left to the attempt. The wait for a rate limit counts towards the time of the check, and a placement by another node is checked last, as the check takes time (found in review).

--- a/entry/process.go
+++ b/entry/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/relay"
 )
@@ -34,16 +35,18 @@
 // yet, and streams of the engines that end go on at those that have started again.
 //
 // An engine is asked before each attempt that continues a stream, which is rare. One at which a stream
-// begins that its caller may take up is asked only while its record may be out of date; what cannot be
-// confirmed then is not used. A copy proves its process, as it ends with it.
+// begins that its caller may take up is asked only while its record may be out of date. An engine that
+// gives no answer is not used while this node does not read the store. A copy proves its process, as it
+// ends with it.
 func (g *generation) endReplaced(now time.Time) bool {
 	rr, e := g.routed, g.endpoint
-	doubtful := g.server.isDoubtful(now, e)
-	if rr.service.Engine == nil || g.copyFrom != nil || g.version == nil && (!rr.route.Resumable || !doubtful) {
+	unread := g.server.storeUnread(now)
+	if rr.service.Engine == nil || g.copyFrom != nil || g.version == nil && (!rr.route.Resumable || !unread && !g.server.lostConnection(e)) {
 		return false
 	}
 	err := g.server.confirmProcess(g.ctx, e)
-	if err == nil || err.Started == 0 && !doubtful {
+	var unreached *relay.NotSentError // the attempt will not reach the engine either
+	if err == nil || err.Started == 0 && (!unread || errors.As(err.Err, &unreached)) {
 		return false
 	}
 	g.lastErr = &relay.NotSentError{Addr: e.Addr, Err: err}
@@ -53,12 +56,14 @@
 	return true
 }
 
-// isDoubtful reports whether the record of an endpoint may be out of date: this node does not read
-// the store, or its last connections to the endpoint failed.
-func (s *Server) isDoubtful(now time.Time, e fleet.Endpoint) bool {
-	if fleet.StoreSilent(s.cfg.Daemon.State(), now) || s.cfg.StoreFailing != nil && s.cfg.StoreFailing() {
-		return true
-	}
+// storeUnread reports whether this node does not read the store, so that records may be out of date.
+func (s *Server) storeUnread(now time.Time) bool {
+	return fleet.StoreSilent(s.cfg.Daemon.State(), now) || s.cfg.StoreFailing != nil && s.cfg.StoreFailing()
+}
+
+// lostConnection reports whether the last connections to an endpoint failed, so that its process may
+// have been replaced.
+func (s *Server) lostConnection(e fleet.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, known := s.usage.endpoints[e.ID]
@@ -71,11 +76,11 @@
 	unknown := func(err error) *ReplacedError {
 		return &ReplacedError{Endpoint: e.ID, Recorded: e.StartMillis, Err: err}
 	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	if !s.awaitEndCheck(ctx, e) {
 		return unknown(fmt.Errorf("it takes no call now"))
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	n, err := s.cfg.Dialect.Leaving(ctx, e.Addr)
 	switch {
 	case err != nil:
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -153,7 +153,7 @@
 // has gone.
 func (g *generation) attempt() bool {
 	s, rr := g.server, g.routed
-	if g.endStalePlacement(time.Now()) || g.endUnrecorded(s.view()) || g.endReplaced(time.Now()) {
+	if g.endUnrecorded(s.view()) || g.endReplaced(time.Now()) || g.endStalePlacement(time.Now()) {
 		return false
 	}
 	rr.tried = append(rr.tried, g.endpoint.ID)
