--- a/fleet/powerloss_test.go
+++ b/fleet/powerloss_test.go
@@ -68,6 +68,7 @@
 		for seed := range uint64(6) {
 			bytes := []int{100, 15 << 10}[seed%2]
 			t.Run(fmt.Sprintf("%d nodes, %d bytes, seed %d", nodes, bytes, seed), func(t *testing.T) {
+				t.Parallel()
 				longest := afterPowerLoss(t, nodes, bytes, seed)
 				t.Logf("%s from the acknowledgement of a version until the last node had it", longest)
 				qt.Assert(t, longest <= 3*time.Second, qt.IsTrue)
