daemon: count the time by which ticks are handled late

A node that is short of its processor for less than 500 ms at a time left no trace: the line "stalled" is written for longer gaps only.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,7 @@
 	closed      chan struct{}                      // closed when Run no longer steps the kernel
 	steps       *metrics.Counter
 	busySeconds *metrics.FloatCounter
+	tickDelay   *metrics.FloatCounter // seconds by which ticks were handled late
 }
 
 // decision holds the kernel's grant or rejection of a request.
@@ -113,6 +114,7 @@
 		closed:      make(chan struct{}),
 		steps:       cfg.Metrics.GetOrCreateCounter("plantaindeck_kernel_steps_total"),
 		busySeconds: cfg.Metrics.GetOrCreateFloatCounter("plantaindeck_kernel_busy_seconds_total"),
+		tickDelay:   cfg.Metrics.GetOrCreateFloatCounter("plantaindeck_tick_delay_seconds_total"),
 	}
 	if cfg.Store != nil {
 		d.editor = editor.New(cfg.Store)
@@ -204,6 +206,7 @@
 				d.Record(trace.Entry{Kind: kind, Detail: detail})
 			}
 			previous = current
+			d.tickDelay.Add(time.Since(now).Seconds())
 			d.step(ctx, now, kernel.Tick{})
 		case e := <-d.events:
 			d.step(ctx, time.Now(), e)
