peer: use a multiplexer whose readers wait while a session ends

Callers can get answers late, and 404 by an old routing table, from a node at which many sessions with other nodes end at once: its goroutines stand still.

Cause: in yamux v0.1.2, Session.Close closes its shutdown channel, then the connection, waits for the receiver and ends the streams last. In between, Stream.Read and Stream.Write select on the closed channel and begin again without a wait. On one processor the goroutines that would end the session get it only when the scheduler takes it away from each reader in turn.

v0.1.1 differs from v0.1.2 in this, in AcceptStreamWithContext, in a Read after the stream's own Close, which it ends, and in names and types of its logger (session.go, stream.go and mux.go, compared). Its readers wait until the session ends their streams, whoever closes the session. The sessions of a transport now close when its context ends, all at the same time, where Close went through the accepted ones in turn while it held the mutex that removeSession needs.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -164,11 +164,6 @@
 func (t *Transport) Close() {
 	t.stop()
 	_ = t.listener.Close()
-	t.mu.Lock()
-	for s := range t.accepted {
-		_ = s.Close()
-	}
-	t.mu.Unlock()
 	t.goroutines.Wait()
 }
 
@@ -218,6 +213,12 @@
 	return cfg
 }
 
+// closeOnStop closes a session when the Transport is closed, at the same time as the others. The
+// function that it returns is called when the session has ended.
+func (t *Transport) closeOnStop(session *yamux.Session) func() bool {
+	return context.AfterFunc(t.ctx, func() { _ = session.Close() })
+}
+
 // serveConn serves a connection that another node opened until it ends.
 func (t *Transport) serveConn(conn net.Conn) {
 	if t.cfg.TLS != nil {
@@ -228,6 +229,7 @@
 		_ = conn.Close()
 		return
 	}
+	defer t.closeOnStop(session)()
 	t.mu.Lock()
 	t.accepted[session] = true
 	t.mu.Unlock()
@@ -237,9 +239,6 @@
 		t.mu.Unlock()
 		_ = session.Close()
 	}()
-	if t.ctx.Err() != nil {
-		return
-	}
 	t.serveSession(session)
 }
 
@@ -247,7 +246,7 @@
 // on it. The first stream starts with the Hello and carries small frames both
 // ways; every other stream carries one large frame.
 func (t *Transport) serveSession(session *yamux.Session) {
-	first, err := session.AcceptStreamWithContext(t.ctx)
+	first, err := session.AcceptStream()
 	if err != nil {
 		return
 	}
@@ -343,6 +342,7 @@
 		_ = conn.Close()
 		return
 	}
+	defer t.closeOnStop(session)()
 	defer session.Close()
 	stream, err := session.OpenStream()
 	if err != nil {
@@ -412,10 +412,11 @@
 	}
 }
 
-// acceptStreams serves the streams that the other node opens in a session besides the first.
+// acceptStreams serves the streams that the other node opens in a session besides the first, until
+// the session ends.
 func (t *Transport) acceptStreams(ctx context.Context, session *yamux.Session, ps *peerSession) error {
 	for {
-		stream, err := session.AcceptStreamWithContext(ctx)
+		stream, err := session.AcceptStream()
 		if err != nil {
 			return err
 		}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +26,12 @@
 }
 
 func newTestNode(t *testing.T, cluster string) *testNode {
+	t.Helper()
+	return newDiallingNode(t, cluster, nil)
+}
+
+// newDiallingNode is newTestNode for a node that connects to others by dial, nil for TCP.
+func newDiallingNode(t *testing.T, cluster string, dial func(context.Context, string) (net.Conn, error)) *testNode {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -35,6 +42,7 @@
 		Cluster:    cluster,
 		OnFrame:    func(_ string, f *wire.Frame) { n.received <- f },
 		OnPeerLost: func(id string) { n.lost <- id },
+		Dial:       dial,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	done := n.Run()
@@ -153,3 +161,55 @@
 		qt.Assert(t, <-done, qt.IsNil)
 	}
 }
+
+// heldConn is a connection whose Close waits until closing is released.
+type heldConn struct {
+	net.Conn
+	closing chan<- struct{} // receives a value when Close is called
+	release <-chan struct{}
+}
+
+// Close implements net.Conn.
+func (c heldConn) Close() error {
+	c.closing <- struct{}{}
+	<-c.release
+	return c.Conn.Close()
+}
+
+// TestReadersLoopWhileSessionsEnd guards against readers of a session that run without waiting from
+// its shutdown until its connection has closed: the other goroutines of the node stand still.
+func TestReadersLoopWhileSessionsEnd(t *testing.T) {
+	const sessions, hold = 16, time.Second
+	closing, release := make(chan struct{}, 2*sessions), make(chan struct{})
+	node := newDiallingNode(t, "c", func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, addr)
+		return heldConn{conn, closing, release}, err
+	})
+	for range sessions {
+		peer := newTestNode(t, "c")
+		node.Send(peer.id, textFrame(1, 1))
+		peer.assertReceives(t, 1)
+	}
+	closed := make(chan struct{})
+	go func() {
+		node.Close()
+		close(closed)
+	}()
+	for range sessions {
+		<-closing
+	}
+	before := processorTime(t)
+	time.Sleep(hold)
+	used := processorTime(t) - before
+	close(release)
+	<-closed
+	qt.Assert(t, used < hold/4, qt.IsTrue, qt.Commentf("%s of processor time in %s", used, hold))
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var r syscall.Rusage
+	qt.Assert(t, syscall.Getrusage(syscall.RUSAGE_SELF, &r), qt.IsNil)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
