feed: take no cut watch for an outage of the store

Requests reached an endpoint for up to 2.16 s after the store had said that it is gone; the bound is 2 s (drain-ms).

Cause: removals are held back for 2.2 s after any failed call, as records may have expired while their writers could not renew them, and after lost history. A connection that is cut says nothing of the writers: the next call, 0.1 s later, is served.

Removals are now held back only after an outage: a call that failed in another way than by a cut, or cuts for 0.5 s until a call is served. Leases last a second or more and are renewed several times, so that a shorter one expires no record. Lost history is an answer of the store. After a restoration from a copy they are held back as before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -31,7 +31,6 @@
 	readerCheckInterval = 100 * time.Millisecond // between checks of whether this node must watch the store
 	minRetryBackoff     = 100 * time.Millisecond // after the first failed call; doubles
 	maxRetryBackoff     = time.Second
-	outageRemovalDelay  = 2200 * time.Millisecond // from the last failure; time for expired records to be written again
 )
 
 // Change is the decoded content of an entry of the store. The set of types is
@@ -90,10 +89,10 @@
 // Feed watches the store for one node.
 type Feed struct {
 	cfg           Config
-	nodesByKey    map[string]*wire.Member  // nodes that have a record in the store
-	listed        fleet.Version            // of the last list
-	eraSince      time.Time                // when a list of that era was first read
-	lastFailure   time.Time                // of a list or watch, or the change of the era; unlike Failing, counts a *store.CompactedError
+	nodesByKey    map[string]*wire.Member // nodes that have a record in the store
+	listed        fleet.Version           // of the last list
+	eraSince      time.Time               // when a list of that era was first read
+	outage        outage
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
 	rejected      map[string]string        // reasons why entries of the store cannot be used, by key
 	recordWritten bool                     // this node's record may be in the store; used by Register only
@@ -152,7 +151,7 @@
 		mustList := errors.As(err, &historyLost) || errors.As(err, &otherEra)
 		listed = (listed || err == nil) && !mustList
 		if failed := err != nil && !mustList; f.failing.Swap(failed) && !failed {
-			f.cfg.Daemon.Record(trace.Entry{Kind: "store-back", Detail: fmt.Sprintf("the store responds again, %s after its last failure", time.Since(f.lastFailure).Round(time.Millisecond))})
+			f.cfg.Daemon.Record(trace.Entry{Kind: "store-back", Detail: fmt.Sprintf("the store responds again, %s after its last failure", time.Since(f.outage.failedAt).Round(time.Millisecond))})
 		}
 		if err == nil {
 			backoff = minRetryBackoff
@@ -160,9 +159,12 @@
 			f.versions.wake() // by now the kernel has applied what was read
 			continue
 		}
-		f.recordFailure(err)
+		f.cfg.Daemon.Record(trace.Entry{Kind: "store-failed", Detail: err.Error()})
 		if !mustList {
+			f.outage = f.outage.WithFailure(time.Now(), err)
 			f.cfg.Daemon.Post(ctx, kernel.StoreFailed{})
+		} else {
+			f.outage = f.outage.WithSuccess(time.Now())
 		}
 		wait.For(ctx, backoff)
 		backoff = min(2*backoff, maxRetryBackoff)
@@ -180,11 +182,6 @@
 	return reads
 }
 
-func (f *Feed) recordFailure(err error) {
-	f.lastFailure = time.Now()
-	f.cfg.Daemon.Record(trace.Entry{Kind: "store-failed", Detail: err.Error()})
-}
-
 // list reads all entries and returns the version of the result. It removes the
 // endpoints that this node knows but the store no longer holds. Load pattern: when all
 // nodes start at once, their lists exceed the store's rate of reads many times over. So a
@@ -204,10 +201,11 @@
 	if era := fleet.Of(f.cfg.Daemon.State()).Era(); r.Era < era {
 		return fleet.Version{}, &store.EraError{Want: era, Got: r.Era}
 	}
+	f.outage = f.outage.WithSuccess(time.Now())
 	version := fleet.Version{Era: r.Era, Revision: r.Revision}
 	if f.listed.Revision != 0 && f.listed.Era != r.Era {
 		f.cfg.Daemon.Record(trace.Entry{Kind: "store-restored", Detail: fmt.Sprintf("the store was restored from a copy: era %d after %d, revision %d after %d", r.Era, f.listed.Era, r.Revision, f.listed.Revision)})
-		f.lastFailure = time.Now()
+		f.outage = f.outage.WithRestoration(time.Now())
 	}
 	f.recordEra(time.Now(), r.Era)
 	f.listed = version
@@ -243,6 +241,7 @@
 	if r.Era != after.Era {
 		return after, &store.EraError{Want: after.Era, Got: r.Era}
 	}
+	f.outage = f.outage.WithSuccess(time.Now())
 	f.postChanges(ctx, r, false)
 	after.Revision = max(after.Revision, r.Revision)
 	return after, nil
@@ -251,7 +250,7 @@
 // watchTime returns how long a watch waits: until held removals are due, but at most
 // watchTimeout.
 func (f *Feed) watchTime(now time.Time) time.Duration {
-	if left := outageRemovalDelay - now.Sub(f.lastFailure); left > 0 {
+	if left := f.outage.heldUntil.Sub(now); left > 0 {
 		return min(left+removalMargin, watchTimeout)
 	}
 	return watchTimeout
@@ -342,10 +341,10 @@
 // the removal is held back. In an outage of the store, writers cannot renew their
 // records, which may expire, and a store that was restored from a copy lacks the later
 // ones. The removal of an endpoint that is not known to be leaving is therefore held
-// back for outageRemovalDelay after a failure or a restoration.
+// back for a time after an outage or a restoration.
 func (f *Feed) removalItem(id string, v fleet.Version) *wire.Item {
 	known, _ := fleet.Of(f.cfg.Daemon.State()).Endpoint(id)
-	if !known.Leaving && time.Since(f.lastFailure) < outageRemovalDelay {
+	if !known.Leaving && f.outage.Holds(time.Now()) {
 		f.heldRemovals[id] = v
 		return nil
 	}
@@ -356,7 +355,7 @@
 // time after an outage or a restoration. Among them are those that other nodes knew of,
 // whose records are still of an earlier era.
 func (f *Feed) postHeldRemovals(ctx context.Context, now time.Time) {
-	if now.Sub(f.lastFailure) < outageRemovalDelay {
+	if f.outage.Holds(now) {
 		return
 	}
 	var removals kernel.ItemsLearned
--- a/feed/version_test.go
+++ b/feed/version_test.go
@@ -31,11 +31,11 @@
 	return store.Range{Entries: []store.Entry{{Key: versionPrefix + "s", Value: []byte(s.record), Revision: s.revision}}}, nil
 }
 
-// TestMissingRecordsAreRead guards against nodes that begin no streams at a version as the nodes
-// that read the store for all are of an older build, which passes on endpoints and no records.
-func TestMissingRecordsAreRead(t *testing.T) {
+// newDaemon returns a daemon that runs until the test ends.
+func newDaemon(t *testing.T) *daemon.Daemon {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	d, err := daemon.New(ctx, daemon.Config{Self: &wire.Member{Id: "127.0.0.1:0"}, Trace: trace.NewRecorder("n", 8), Metrics: metrics.NewSet()})
+	d, err := daemon.New(ctx, daemon.Config{Self: &wire.Member{Id: "127.0.0.1:0"}, Trace: trace.NewRecorder("n", 64), Metrics: metrics.NewSet()})
 	qt.Assert(t, err, qt.IsNil)
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
@@ -43,6 +43,13 @@
 		cancel()
 		qt.Assert(t, <-done, qt.IsNil)
 	})
+	return d
+}
+
+// TestMissingRecordsAreRead guards against nodes that begin no streams at a version as the nodes
+// that read the store for all are of an older build, which passes on endpoints and no records.
+func TestMissingRecordsAreRead(t *testing.T) {
+	ctx, d := context.Background(), newDaemon(t)
 	s := &recordStore{}
 	f := New(Config{Store: s, Daemon: d})
 	learn := func(item *wire.Item, err error) {
