--- a/feed/feed.go
+++ b/feed/feed.go
@@ -89,10 +89,10 @@
 // Feed watches the store for one node.
 type Feed struct {
 	cfg           Config
-	nodesByKey    map[string]*wire.Member // nodes that have a record in the store
-	listed        fleet.Version           // of the last list
-	eraSince      time.Time               // when a list of that era was first read
-	outage        outage
+	nodesByKey    map[string]*wire.Member  // nodes that have a record in the store
+	listed        fleet.Version            // of the last list
+	eraSince      time.Time                // when a list of that era was first read
+	outage        outage                   // holds back removals; used by the goroutine of Run only
 	heldRemovals  map[string]fleet.Version // removals that are held back, by endpoint
 	rejected      map[string]string        // reasons why entries of the store cannot be used, by key
 	recordWritten bool                     // this node's record may be in the store; used by Register only
--- a/fleet/announce.go
+++ b/fleet/announce.go
@@ -30,7 +30,7 @@
 	readerContactTime = time.Second            // a reader without contact for longer fetches at once
 	announceInterval  = time.Second            // between two announcements of the routing table to all members; with a fetch, well within the 3 s in which a change must be in force
 	announceTime      = 4 * time.Second        // after a change of the table for which it is announced: the 3 s, and one more interval
-	maxStandInBytes   = 16 << 10               // of a table that a reader that stands in for another announces without such losses; a link of 10 Mbit/s takes 77 of them in announceInterval
+	maxStandInBytes   = 16 << 10               // limit of a table that a reader announces because it stands in for another; a link of 10 Mbit/s takes 77 of them in announceInterval
 	minLosses         = 2                      // members that do not respond, from which on the readers announce the table to all members; a single one cuts off no other
 )
 
@@ -137,9 +137,10 @@
 }
 
 // announceTable announces the routing table to all members, if this node reads the store, the table
-// has changed of late, and some members do not respond or this node stands in for another reader. It announces the version that it held one
-// announceInterval before, which most nodes have by then; an answer to a Fetch holds the newest one
-// anyway. A node that has just begun to read announces what it has: no other node may have read that.
+// has changed of late, and some members do not respond or this node stands in for another reader. It
+// announces the version that it held one announceInterval before, which most nodes have by then; an
+// answer to a Fetch holds the newest one anyway. A node that has just begun to read announces what it
+// has: no other node may have read that.
 //
 // Load pattern: when most nodes lose power at once, all nodes that would forward changes to a node,
 // and all with which it compares digests, may be among them. Until they are declared dead, which
