--- a/trace/explain.go
+++ b/trace/explain.go
@@ -53,6 +53,7 @@
 // a request whose endpoint is empty or one that the request used. The entries are
 // in the order of their logical times, so the clocks of hosts may differ.
 func Explain(request string, lists ...[]Entry) Timeline {
+	request = clip(request, maxRequestBytes)
 	all := Merge(lists...)
 	timeline := Timeline{Request: request}
 	endpoints := map[string]bool{}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -11,10 +11,25 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
+// Bounds of an entry's texts, in bytes, since they may hold what clients sent.
+const (
+	maxRequestBytes = 128
+	maxDetailBytes  = 2 << 10
+)
+
+// clip returns a text of at most n bytes. It does not refer to the memory of a longer one.
+func clip(text string, n int) string {
+	if len(text) <= n {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:n]), "")
+}
+
 // Entry is one event.
 type Entry struct {
 	Logical   int64     `json:"logical"` // logical time, microseconds; at least the wall clock of the process
@@ -22,7 +37,7 @@
 	Process   string    `json:"process"`
 	Seq       uint64    `json:"seq"` // sequence number within the process, from 1
 	Kind      string    `json:"kind"`
-	Request   string    `json:"request,omitempty"`
+	Request   string    `json:"request,omitempty"` // the first maxRequestBytes of a longer id
 	Workspace string    `json:"workspace,omitempty"`
 	Endpoint  string    `json:"endpoint,omitempty"`
 	Detail    string    `json:"detail,omitempty"`
@@ -52,7 +67,7 @@
 	r.sink = s
 }
 
-// Add records an event at the time now.
+// Add records an event at the time now. It shortens long texts.
 func (r *Recorder) Add(now time.Time, e Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,6 +75,7 @@
 	e.Logical = r.advance(now)
 	e.Time = now
 	e.Process = r.process
+	e.Request, e.Detail = clip(e.Request, maxRequestBytes), clip(e.Detail, maxDetailBytes)
 	e.Seq = r.seq
 	if r.sink != nil {
 		r.sink.Add(now, e)
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -123,3 +123,19 @@
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Request, qt.Equals, "r")
 }
+
+// TestLongTextsAreShortened guards against a recorder whose entries hold as many bytes as clients send.
+func TestLongTextsAreShortened(t *testing.T) {
+	const most = 2 << 10 // bytes of a text
+	r := trace.NewRecorder("p", 10)
+	long := strings.Repeat("é", 1<<20)
+	r.Add(time.Now(), trace.Entry{Kind: "failed", Request: long, Detail: long})
+	r.Add(time.Now(), trace.Entry{Kind: "failed", Request: "r1", Detail: "short"})
+	got := r.After(0)
+	qt.Assert(t, len(got), qt.Equals, 2)
+	qt.Check(t, len(got[0].Request) <= most && strings.HasPrefix(long, got[0].Request), qt.IsTrue)
+	qt.Check(t, len(got[0].Detail) <= most && strings.HasPrefix(long, got[0].Detail), qt.IsTrue)
+	qt.Check(t, got[1].Request, qt.Equals, "r1")
+	qt.Check(t, got[1].Detail, qt.Equals, "short")
+	qt.Check(t, len(trace.Explain(long, got).Entries), qt.Equals, 1)
+}
