--- a/entry/body.go
+++ b/entry/body.go
@@ -9,6 +9,8 @@
 
 const (
 	minBodyBuffer     = 4 << 10  // bytes
+	smallResponse     = 64 << 10 // bytes up to which a response counts as small
+	largeShare        = 0.75     // of the memory, for what large responses have beyond smallResponse
 	defaultBodyMemory = 64 << 20 // bytes
 )
 
@@ -26,18 +28,37 @@
 	return fmt.Sprintf("response body exceeds %d bytes", maxPlainBody)
 }
 
-// bodyMemory bounds the memory of all responses that a node reads whole at the same time. Load
-// pattern: many responses of a server never end, and each is allowed as many bytes as the
-// longest that is sound.
+// bodyMemory bounds the memory of all responses that a node reads whole at the same time. Large
+// responses leave room for small ones. Load pattern: many responses of a server never end, and each is
+// allowed as many bytes as the longest that is sound; or callers ask for long responses and do not
+// read them.
 type bodyMemory struct {
-	free *semaphore.Weighted
+	free  *semaphore.Weighted // all bytes
+	large *semaphore.Weighted // bytes beyond smallResponse of each response
 }
 
 func newBodyMemory(size int64) *bodyMemory {
 	if size == 0 {
 		size = defaultBodyMemory
 	}
-	return &bodyMemory{free: semaphore.NewWeighted(size)}
+	return &bodyMemory{free: semaphore.NewWeighted(size), large: semaphore.NewWeighted(max(int64(largeShare*float64(size)), min(size, maxPlainBody+1)))}
+}
+
+// beyondSmall returns what a buffer of n bytes has beyond smallResponse.
+func beyondSmall(n int) int64 { return max(int64(n)-smallResponse, 0) }
+
+// grow takes the memory for a buffer that grows from one size to another, and reports whether there
+// was enough.
+func (m *bodyMemory) grow(from, to int) bool {
+	large := beyondSmall(to) - beyondSmall(from)
+	if !m.large.TryAcquire(large) {
+		return false
+	}
+	if !m.free.TryAcquire(int64(to - from)) {
+		m.large.Release(large)
+		return false
+	}
+	return true
 }
 
 // read reads the whole body of a response, which may have maxPlainBody bytes. The caller
@@ -48,7 +69,7 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(max(2*cap(body), minBodyBuffer), maxPlainBody+1)
-			if size == cap(body) || !m.free.TryAcquire(int64(size-cap(body))) {
+			if size == cap(body) || !m.grow(cap(body), size) {
 				m.release(body)
 				return nil, &BodyError{Read: len(body), Short: size > cap(body)}
 			}
@@ -67,4 +88,7 @@
 }
 
 // release gives back the memory of a body that read has returned.
-func (m *bodyMemory) release(body []byte) { m.free.Release(int64(cap(body))) }
+func (m *bodyMemory) release(body []byte) {
+	m.large.Release(beyondSmall(cap(body)))
+	m.free.Release(int64(cap(body)))
+}
--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -64,6 +64,18 @@
 		readers.Wait()
 		assertAllFree(t, m)
 	})
+	t.Run("large ones leave room for small ones", func(t *testing.T) {
+		m := newBodyMemory(size)
+		for {
+			if _, err := m.read(io.LimitReader(endlessReader{}, 1<<20)); err != nil {
+				break
+			}
+		}
+		for range 100 {
+			_, err := m.read(strings.NewReader("small"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+	})
 	t.Run("short while the memory is taken", func(t *testing.T) {
 		m := newBodyMemory(size)
 		qt.Assert(t, m.free.TryAcquire(size-minBodyBuffer), qt.IsTrue)
