--- a/entry/resume.go
+++ b/entry/resume.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"slices"
@@ -17,13 +19,16 @@
 // It takes a few milliseconds, unless this node has just started or others do not answer.
 const originTimeout = 1500 * time.Millisecond
 
+// maxOriginKey is the number of bytes of a request id up to which it is a key itself.
+const maxOriginKey = 128
+
 // pinResumed pins a generation that the caller takes up again to the software version
 // that began its stream. It returns an error if the stream cannot go on.
 func (g *generation) pinResumed() *apierr.Error {
 	s, rr := g.server, g.routed
 	ctx, cancel := context.WithTimeout(g.ctx, originTimeout)
 	defer cancel()
-	origin, source := s.cfg.Daemon.FindOrigin(ctx, rr.req.ResumedID), "a node"
+	origin, source := s.cfg.Daemon.FindOrigin(ctx, originKey(rr.req.ResumedID)), "a node"
 	if !origin.Known {
 		origin, source = s.soleOrigin(ctx, time.Now()), "the store's record"
 	}
@@ -76,8 +81,18 @@
 	version := g.endpoint.Version
 	g.version = &version
 	if rr := g.routed; rr.route.Resumable {
-		g.server.cfg.Daemon.Post(g.ctx, kernel.StreamBegan{Request: rr.req.ID, Service: rr.service.Name, Version: version})
+		g.server.cfg.Daemon.Post(g.ctx, kernel.StreamBegan{Request: originKey(rr.req.ID), Service: rr.service.Name, Version: version})
+	}
+}
+
+// originKey returns the key under which nodes remember the origin of a stream: the id of its request, or a
+// digest of a long one, as nodes keep and exchange the keys for minutes.
+func originKey(id string) string {
+	if len(id) <= maxOriginKey {
+		return id
 	}
+	sum := sha256.Sum256([]byte(id))
+	return "sha256:" + hex.EncodeToString(sum[:])
 }
 
 // serves reports whether an endpoint of a service that is not leaving runs a version.
