--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,6 +29,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/socket"
+	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/plantaindeck/plantaindeck/wire"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -42,6 +43,8 @@
 	maxOutboxFrames = 1024             // frames that wait for one peer; more are dropped
 	maxFrameBytes   = 2 << 20          // larger frames are rejected by the receiver
 	minLargeBytes   = 64 << 10         // frames of at least this size get a stream of their own
+	minAcceptDelay  = 5 * time.Millisecond
+	maxAcceptDelay  = time.Second // between two tries to accept a connection
 )
 
 // Config configures a Transport.
@@ -167,15 +170,23 @@
 	t.goroutines.Wait()
 }
 
+// acceptConns accepts connections until the Transport is closed.
 func (t *Transport) acceptConns() error {
+	var delay time.Duration
 	for {
 		conn, err := t.listener.Accept()
-		if err != nil {
-			if t.ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case err != nil && t.ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "accept connection from a peer")
+		case err != nil:
+			// The process has too many descriptors open, or the connection broke before it was accepted.
+			delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
+			wait.For(t.ctx, delay)
+			continue
 		}
+		delay = 0
 		t.goroutines.Add(1)
 		go func() {
 			defer t.goroutines.Done()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,19 +33,25 @@
 
 // newDiallingNode is newTestNode for a node that connects to others by dial, nil for TCP.
 func newDiallingNode(t *testing.T, cluster string, dial func(context.Context, string) (net.Conn, error)) *testNode {
+	t.Helper()
+	return newConfiguredNode(t, Config{Cluster: cluster, Dial: dial}, nil)
+}
+
+// newConfiguredNode returns a node with a configuration, whose listener wrap replaces unless it is nil.
+func newConfiguredNode(t *testing.T, cfg Config, wrap func(net.Listener) net.Listener) *testNode {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	n := &testNode{id: ln.Addr().String(), received: make(chan *wire.Frame, 100), lost: make(chan string, 100)}
 	qt.Assert(t, ln.Close(), qt.IsNil)
-	n.Transport, err = Listen(context.Background(), Config{
-		Self:       &wire.Member{Id: n.id},
-		Cluster:    cluster,
-		OnFrame:    func(_ string, f *wire.Frame) { n.received <- f },
-		OnPeerLost: func(id string) { n.lost <- id },
-		Dial:       dial,
-	})
+	cfg.Self = &wire.Member{Id: n.id}
+	cfg.OnFrame = func(_ string, f *wire.Frame) { n.received <- f }
+	cfg.OnPeerLost = func(id string) { n.lost <- id }
+	n.Transport, err = Listen(context.Background(), cfg)
 	qt.Assert(t, err, qt.IsNil)
+	if wrap != nil {
+		n.listener = wrap(n.listener)
+	}
 	done := n.Run()
 	t.Cleanup(func() {
 		n.Close()
@@ -213,3 +220,31 @@
 	qt.Assert(t, syscall.Getrusage(syscall.RUSAGE_SELF, &r), qt.IsNil)
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
+
+// failingListener is a listener whose first Accepts fail, as those of a process with too many descriptors do.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+// Accept implements net.Listener.
+func (ln *failingListener) Accept() (net.Conn, error) {
+	if ln.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return ln.Listener.Accept()
+}
+
+// TestAcceptErrorPasses guards against a node that accepts no other node any more, once it has had too many
+// descriptors open for a moment.
+func TestAcceptErrorPasses(t *testing.T) {
+	failing := &failingListener{}
+	failing.failures.Store(3)
+	a := newTestNode(t, "c")
+	b := newConfiguredNode(t, Config{Cluster: "c"}, func(ln net.Listener) net.Listener {
+		failing.Listener = ln
+		return failing
+	})
+	a.Send(b.id, textFrame(1, 1))
+	b.assertReceives(t, 1)
+}
