--- a/entry/entry.go
+++ b/entry/entry.go
@@ -302,6 +302,27 @@
 	return err
 }
 
+// Check returns the error of a request that will be rejected whatever its body holds, or nil.
+func (s *Server) Check(now time.Time, req *Request) *apierr.Error {
+	view := s.view()
+	err := s.checkReady(view)
+	if err == nil {
+		_, err = s.routeRequest(now, view, req)
+	}
+	if err == nil {
+		return nil
+	}
+	return err.WithRequest(req.ID)
+}
+
+// checkReady returns an error if the node has no routing table.
+func (s *Server) checkReady(view *fleet.View) *apierr.Error {
+	if view.Ready() {
+		return nil
+	}
+	return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node has not learned the routing table yet").WithRetryAfter(unreadyRetryAfter)
+}
+
 // recordPlacement records which endpoint a request is sent to, and the load and
 // failures by which it was chosen. First is the expected time to the first event, 0 if unknown.
 func (s *Server) recordPlacement(rr *routedRequest, e fleet.Endpoint, c place.Candidate, first time.Duration) {
@@ -314,8 +335,8 @@
 
 func (s *Server) serve(ctx context.Context, req *Request, out ResponseWriter) *apierr.Error {
 	view := s.view()
-	if !view.Ready() {
-		return apierr.NotRun(http.StatusServiceUnavailable, apierr.CodeUnavailable, "this node has not learned the routing table yet").WithRetryAfter(unreadyRetryAfter)
+	if err := s.checkReady(view); err != nil {
+		return err
 	}
 	rr, fail := s.routeRequest(time.Now(), view, req)
 	if fail != nil {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -34,6 +34,18 @@
 	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 }
 
+// CallerListenConfig returns a configuration of listeners whose connections have a receive buffer of n
+// bytes in the kernel, which bounds what it holds for connections that are not read. Their silence is
+// bounded by the program.
+func CallerListenConfig(n int) *net.ListenConfig {
+	return &net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			// The error is ignored: the connections work with another size.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n)
+		})
+	}}
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 }
