--- a/intake/intake.go
+++ b/intake/intake.go
@@ -12,7 +12,8 @@
 //   - What connections cost beyond Limits.Small does not exceed Limits.Bulk together, unless only one
 //     costs that much, so that large requests leave room for small ones.
 //   - There are at most Limits.Conns connections, and maxYielding that yield.
-//   - A request that an endpoint runs yields only if its client does not read the response.
+//   - A request that an endpoint runs yields only if its client does not read the response, or has sent
+//     more without waiting for it.
 //
 // Load pattern: clients that keep to no limit, or only to the letter. They send many heads or bodies
 // at once, stop short of their end, and keep their connections open.
@@ -33,12 +34,13 @@
 
 // Phases of a connection.
 const (
-	Closing   Phase = iota // its last response has been written, and what its client still sends is discarded
-	Receiving              // a part of a request has arrived
-	Opened                 // nothing has arrived yet
-	Sending                // a part of a response is written and not accepted by the client yet
-	Idle                   // no byte has arrived since the last response
-	Serving                // a request has arrived; it never yields
+	Closing    Phase = iota // its last response has been written, and what its client still sends is discarded
+	Receiving               // a part of a request has arrived
+	Opened                  // nothing has arrived yet
+	Sending                 // a part of a response is written and not accepted by the client yet
+	Pipelining              // a request is served, and more has arrived behind it
+	Idle                    // no byte has arrived since the last response
+	Serving                 // a request has arrived; it never yields
 )
 
 // Limits bound what the connections of a node occupy together.
