--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/editor"
+	"github.com/plantaindeck/plantaindeck/intake"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/peer"
 	"github.com/plantaindeck/plantaindeck/policy"
@@ -57,6 +58,8 @@
 	Metrics *metrics.Set
 	// OnStream serves a stream that another node has opened; see peer.Config. It may be nil.
 	OnStream func(ctx context.Context, from string, first *wire.Frame, s *peer.Stream)
+	// Strangers is that of peer.Config.
+	Strangers *intake.Ledger
 	// OnEndpointLeaving is called when the kernel learns that an endpoint is leaving or gone.
 	// The time goneAt is zero if it is not known. OnEndpointLeaving may be nil.
 	OnEndpointLeaving func(endpoint string, goneAt time.Time)
@@ -127,7 +130,7 @@
 		Cluster: cfg.Cluster,
 		TLS:     cfg.TLS,
 		Dial:    cfg.Dial,
-		Metrics: cfg.Metrics,
+		Metrics: cfg.Metrics, Strangers: cfg.Strangers,
 		OnFrame: func(from string, f *wire.Frame) {
 			cfg.Trace.Observe(f.GetLogical())
 			if isPlacement(f) {
--- a/intake/cost.go
+++ b/intake/cost.go
@@ -50,3 +50,22 @@
 
 // HeadCost returns the cost of a head of n bytes in a number of lines.
 func HeadCost(n, lines int) int64 { return byteCost*int64(n) + lineCost*int64(lines) }
+
+const (
+	strangerShare = 16  // 1/strangerShare of the memory and of the sockets is for connections of unknown nodes
+	maxStrangers  = 512 // such connections
+	minStrangers  = 16
+)
+
+// StrangerLimitsFor is LimitsFor for accepted connections whose other side claims to be a node and has not said
+// which one yet. They have limits of their own, so that clients cannot separate nodes from each other.
+func StrangerLimitsFor(memory int64, sockets int) Limits {
+	if memory <= 0 {
+		memory = DefaultMemory
+	}
+	if sockets <= 0 {
+		sockets = DefaultSocket
+	}
+	n := memory / strangerShare
+	return Limits{Bytes: n, Bulk: n, Small: n, Conns: min(max(sockets/strangerShare, minStrangers), maxStrangers), Stall: stall}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/intake"
 	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/plantaindeck/plantaindeck/wire"
@@ -63,6 +64,8 @@
 	// Dial connects to another node. It is nil for TCP.
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Metrics *metrics.Set // nil for a new set
+	// Strangers bounds what accepted connections occupy until their Hello. It is nil for a default.
+	Strangers *intake.Ledger
 }
 
 // Transport exchanges frames between this node and others.
@@ -72,9 +75,10 @@
 	startTime     time.Time
 	ctx           context.Context // ends when the Transport is closed
 	stop          context.CancelFunc
-	mu            sync.Mutex              // guards sessions and accepted
+	mu            sync.Mutex              // guards sessions, accepted and strangers
 	sessions      map[string]*peerSession // sessions to send on, by peer id; an accepted one only if there was no other
 	accepted      map[*yamux.Session]bool // sessions that other nodes opened
+	strangers     map[uint64]*stranger    // accepted connections without a Hello, by the id in cfg.Strangers
 	goroutines    sync.WaitGroup          // the accepting goroutine, and one for each session
 	bytesIn       *metrics.Counter
 	bytesOut      *metrics.Counter
@@ -119,6 +123,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
+	if cfg.Strangers == nil {
+		cfg.Strangers = defaultStrangers()
+	}
 	ctx, stop := context.WithCancel(ctx)
 	t := &Transport{
 		cfg:           cfg,
@@ -128,6 +135,7 @@
 		stop:          stop,
 		sessions:      map[string]*peerSession{},
 		accepted:      map[*yamux.Session]bool{},
+		strangers:     map[uint64]*stranger{},
 		bytesIn:       cfg.Metrics.GetOrCreateCounter(`plantaindeck_peer_bytes_total{direction="in"}`),
 		bytesOut:      cfg.Metrics.GetOrCreateCounter(`plantaindeck_peer_bytes_total{direction="out"}`),
 		framesDropped: cfg.Metrics.GetOrCreateCounter("plantaindeck_peer_frames_dropped_total"),
@@ -187,10 +195,16 @@
 			continue
 		}
 		delay = 0
+		s := t.admit(time.Now(), conn)
+		if s == nil {
+			// The error is ignored: the connection may be broken already.
+			_ = conn.Close()
+			continue
+		}
 		t.goroutines.Add(1)
 		go func() {
 			defer t.goroutines.Done()
-			t.serveConn(conn)
+			t.serveConn(s)
 		}()
 	}
 }
@@ -231,7 +245,9 @@
 }
 
 // serveConn serves a connection that another node opened until it ends.
-func (t *Transport) serveConn(conn net.Conn) {
+func (t *Transport) serveConn(s *stranger) {
+	defer s.forget()
+	var conn net.Conn = s
 	if t.cfg.TLS != nil {
 		conn = tls.Server(conn, t.cfg.TLS)
 	}
@@ -250,13 +266,13 @@
 		t.mu.Unlock()
 		_ = session.Close()
 	}()
-	t.serveSession(session)
+	t.serveSession(session, s)
 }
 
 // serveSession reads the Hello of an accepted session and then exchanges frames
 // on it. The first stream starts with the Hello and carries small frames both
 // ways; every other stream carries one large frame.
-func (t *Transport) serveSession(session *yamux.Session) {
+func (t *Transport) serveSession(session *yamux.Session, s *stranger) {
 	first, err := session.AcceptStream()
 	if err != nil {
 		return
@@ -268,6 +284,7 @@
 		return
 	}
 	_ = first.SetReadDeadline(time.Time{})
+	s.identify()
 	ps := newPeerSession(from)
 	ps.session = session
 	close(ps.up)
@@ -277,7 +294,7 @@
 // readHello returns the id of the node that opened a session. An error is a
 // *HelloError if the node does not belong to this cluster.
 func (t *Transport) readHello(r *bufio.Reader) (string, error) {
-	f, err := readFrame(r)
+	f, err := readFrame(r, maxHelloBytes)
 	if err != nil {
 		return "", err
 	}
@@ -288,9 +305,10 @@
 	return h.GetFrom().GetId(), nil
 }
 
-func readFrame(r *bufio.Reader) (*wire.Frame, error) {
+// readFrame reads a frame of at most limit bytes.
+func readFrame(r *bufio.Reader, limit int64) (*wire.Frame, error) {
 	f := &wire.Frame{}
-	err := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(r, f)
+	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, f)
 	return f, err
 }
 
@@ -414,7 +432,7 @@
 func (t *Transport) readFrames(stream io.Closer, r *bufio.Reader, ps *peerSession) error {
 	defer stream.Close()
 	for {
-		f, err := readFrame(r)
+		f, err := readFrame(r, maxFrameBytes)
 		if err != nil {
 			return err
 		}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -138,7 +138,7 @@
 	f.Add(b.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		frame, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		frame, err := readFrame(bufio.NewReader(bytes.NewReader(data)), maxFrameBytes)
 		if err == nil && frame == nil {
 			t.Fatal("neither a frame nor an error")
 		}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -66,7 +66,7 @@
 
 // Receive returns the next frame. The error is io.EOF if the other node has closed the stream
 // or the session has ended.
-func (s *Stream) Receive() (*wire.Frame, error) { return readFrame(s.r) }
+func (s *Stream) Receive() (*wire.Frame, error) { return readFrame(s.r, maxFrameBytes) }
 
 // SetReadDeadline sets the time at which Receive fails; zero for never.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
