--- a/config/config.go
+++ b/config/config.go
@@ -39,6 +39,7 @@
 	GracePeriod     time.Duration // longest wait for responses in progress when stopping
 	MaxTraceEntries int           // trace entries that the node keeps in memory
 	MemoryLimitMiB  int           // soft limit of the Go runtime's memory, MiB; 0 for none
+	ClientsMiB      int           // memory that callers' connections and requests may take together, MiB; 0 for the default
 	Seed            uint64        // seed of random choices; 0 takes one from the clock
 }
 
@@ -51,6 +52,8 @@
 	maxMemoryMiB    = 1 << 20
 )
 
+const defaultClientsMiB = 256
+
 // AddFlags adds a flag for each setting to f, and sets the settings to the defaults.
 func (n *Node) AddFlags(f *pflag.FlagSet) {
 	f.StringVar(&n.PeerAddr, "peer", "", "address for other nodes, IP address and port; it is also the node's id")
@@ -71,6 +74,7 @@
 	f.DurationVar(&n.GracePeriod, "grace", 10*time.Minute, "longest wait for responses in progress when stopping")
 	f.IntVar(&n.MaxTraceEntries, "events", 8192, "trace entries that the node keeps in memory")
 	f.IntVar(&n.MemoryLimitMiB, "memory", 28, "soft limit of the memory of the Go runtime, MiB; 0 for none")
+	f.IntVar(&n.ClientsMiB, "clients", defaultClientsMiB, "memory that the connections and requests of callers may take together, MiB; it must hold the largest request body twice")
 	f.Uint64Var(&n.Seed, "seed", 0, "seed of random choices; 0 takes one from the clock")
 }
 
@@ -190,6 +194,12 @@
 	if n.MaxBodyBytes < minBodyBytes || n.MaxBodyBytes > maxBodyBytes {
 		bad.add("body", "must lie between %d and %d, not %d", minBodyBytes, maxBodyBytes, n.MaxBodyBytes)
 	}
+	if n.ClientsMiB == 0 {
+		n.ClientsMiB = defaultClientsMiB
+	}
+	if n.ClientsMiB > maxMemoryMiB || n.ClientsMiB<<20 <= 2*n.MaxBodyBytes {
+		bad.add("clients", "must be more than twice --body and at most %d MiB, not %d MiB", maxMemoryMiB, n.ClientsMiB)
+	}
 	if n.StallTimeout < time.Second || n.StallTimeout > time.Hour {
 		bad.add("stall", "must lie between 1s and 1h, not %s", n.StallTimeout)
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -21,6 +22,7 @@
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/claim"
 	"github.com/plantaindeck/plantaindeck/daemon"
+	"github.com/plantaindeck/plantaindeck/intake"
 	"github.com/plantaindeck/plantaindeck/policy"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/retry"
@@ -53,6 +55,7 @@
 	Operators    map[string]string // names of the operators by the hash of their key
 	AddressTTL   time.Duration     // how long callers may keep the address list
 	MaxBodyBytes int               // maximum size of a request body, bytes
+	Clients      intake.Limits     // bounds of what callers' connections occupy together
 	Seed         uint64            // of the jitter of retry backoffs
 }
 
@@ -62,7 +65,8 @@
 	http           *fasthttp.Server
 	ctx            context.Context
 	stop           context.CancelFunc
-	open           atomic.Int64   // connections of callers
+	conns          *boundedConns  // connections of callers
+	open           atomic.Int64   // number of them
 	backgroundJobs sync.WaitGroup // jobs that outlive the request that started them
 	mu             sync.Mutex
 	retryBudget    retry.Budget // limits retries of failed attempts; guarded by mu
@@ -76,6 +80,7 @@
 	f := &Front{
 		cfg:            cfg,
 		requestMetrics: newRequestMetrics(cfg.Daemon.Metrics()),
+		conns:          newBoundedConns(cfg.Clients, cfg.MaxBodyBytes*oversizeReadFactor),
 		retryBudget:    retry.New(),
 		rand:           rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
@@ -102,9 +107,13 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// countConn counts the open connections, as fasthttp does not do after a shutdown.
-func (f *Front) countConn(_ net.Conn, state fasthttp.ConnState) {
+// countConn counts the open connections, as fasthttp does not do after a shutdown, and notes which are idle.
+func (f *Front) countConn(conn net.Conn, state fasthttp.ConnState) {
 	switch state {
+	case fasthttp.StateIdle:
+		if c := f.conns.of(conn); c != nil {
+			c.idle()
+		}
 	case fasthttp.StateNew:
 		f.open.Add(1)
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
@@ -114,7 +123,7 @@
 
 // Serve accepts connections on ln and serves requests until Shutdown is called.
 func (f *Front) Serve(ln net.Listener) error {
-	return f.http.Serve(writeTimeoutListener{ln})
+	return f.http.Serve(writeTimeoutListener{boundedListener{ln, f.conns}})
 }
 
 // Shutdown stops accepting connections and waits until every response has ended or
@@ -167,10 +176,18 @@
 		apierr.NotRun(fasthttp.StatusRequestEntityTooLarge, apierr.CodeTooLarge, "request body is too large").Write(ctx)
 		return
 	}
+	var noRoom *NoRoomError
+	if errors.As(err, &noRoom) {
+		noRoomError(noRoom).Write(ctx)
+		return
+	}
 	apierr.NotRun(fasthttp.StatusBadRequest, apierr.CodeBadRequest, "request cannot be read: %v", err).Write(ctx)
 }
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	if c := f.conns.of(ctx.Conn()); c != nil {
+		c.serve()
+	}
 	if route.Of(f.cfg.Daemon.State()).Stopping() {
 		ctx.SetConnectionClose()
 	}
--- a/intake/cost.go
+++ b/intake/cost.go
@@ -35,13 +35,18 @@
 	if memory <= 0 {
 		memory = DefaultMemory
 	}
+	return LimitsOf(int64(max(clientShare*float64(memory-ownMemory), minOwnShare*float64(memory))), sockets)
+}
+
+// LimitsOf returns the limits of a node whose clients may occupy n bytes, and whose process may have a number
+// of sockets open; zero sockets stand for DefaultSocket.
+func LimitsOf(n int64, sockets int) Limits {
 	if sockets <= 0 {
 		sockets = DefaultSocket
 	}
-	n := max(clientShare*float64(memory-ownMemory), minOwnShare*float64(memory))
 	return Limits{
-		Bytes: int64(n),
-		Bulk:  int64(bulkShare * n),
+		Bytes: n,
+		Bulk:  int64(bulkShare * float64(n)),
 		Small: smallRequest,
 		Conns: (sockets - sockets/spareSockets) / 2,
 		Stall: stall,
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,9 @@
 	"github.com/plantaindeck/plantaindeck/config"
 	"github.com/plantaindeck/plantaindeck/daemon"
 	"github.com/plantaindeck/plantaindeck/front"
+	"github.com/plantaindeck/plantaindeck/intake"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/plantaindeck/plantaindeck/trace"
 	"github.com/plantaindeck/plantaindeck/wait"
@@ -115,6 +117,7 @@
 		Operators:    parseOperators(settings.Operators),
 		AddressTTL:   settings.AddressTTL,
 		MaxBodyBytes: settings.MaxBodyBytes,
+		Clients:      intake.LimitsOf(int64(settings.ClientsMiB)<<20, socket.MaxOpen()),
 		Seed:         seed,
 	})
 	go func() { n.done <- n.run(ctx) }()
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -46,6 +46,15 @@
 	}}
 }
 
+// MaxOpen returns the number of descriptors that the process may have open, or 0 if it is not known.
+func MaxOpen() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > 1<<30 {
+		return 0
+	}
+	return int(l.Cur)
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 }
