--- a/front/bound.go
+++ b/front/bound.go
@@ -77,7 +77,7 @@
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		// The error is ignored: the connection works with another size.
-		_ = tcp.SetReadBuffer(intake.ReceiveBuffer)
+		_ = tcp.SetReadBuffer(intake.BodyBuffer)
 	}
 	c := &boundedConn{Conn: conn, conns: b, id: id}
 	b.mu.Lock()
--- a/intake/cost.go
+++ b/intake/cost.go
@@ -10,11 +10,17 @@
 	lineCost    = 256      // a line of a head besides its bytes: entries of the header maps
 	// UnreadCost is what the kernel may hold for a connection that is not read.
 	UnreadCost = 2 * ReceiveBuffer
+	// BodyUnreadCost is what it may hold for one on which a large body arrives.
+	BodyUnreadCost = 2 * BodyBuffer
 )
 
-// ReceiveBuffer is the size of the kernel's receive buffer of a client's connection, in bytes. The kernel
-// may use twice as much. It bounds what has arrived and has not been read.
-const ReceiveBuffer = 32 << 10
+// Sizes of the kernel's receive buffer of a client's connection, in bytes, of which the kernel may use
+// twice as much. It bounds what has arrived and has not been read. Each connection has one, so that it is
+// small until there is room for the body of a request.
+const (
+	ReceiveBuffer = 8 << 10
+	BodyBuffer    = 32 << 10
+)
 
 const (
 	ownMemory     = 32 << 20 // bytes that a node needs without clients
