--- a/front/bound.go
+++ b/front/bound.go
@@ -210,10 +210,21 @@
 // Write implements net.Conn.
 func (c *boundedConn) Write(p []byte) (int, error) {
 	c.conns.ledger.SetPhase(time.Now(), c.id, intake.Sending)
-	defer func() { c.conns.ledger.SetPhase(time.Now(), c.id, intake.Serving) }()
+	defer c.noteWritten()
 	return c.Conn.Write(p)
 }
 
+// noteWritten notes that a Write has ended, which may be that of an interim response while a body arrives.
+func (c *boundedConn) noteWritten() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	phase := intake.Receiving
+	if c.serving {
+		phase = intake.Serving
+	}
+	c.conns.ledger.SetPhase(time.Now(), c.id, phase)
+}
+
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
 	c.conns.mu.Lock()
