--- a/platform/arrived_test.go
+++ b/accept/arrived_test.go
@@ -1,4 +1,4 @@
-package platform
+package accept
 
 import (
 	"context"
@@ -17,27 +17,31 @@
 // TestArrivedRequestIsRead guards against requests that get no answer although they arrived before
 // their connection expired, as the process has not read them yet, for example because it stood still.
 func TestArrivedRequestIsRead(t *testing.T) {
-	for name, expire := range map[string]func(*connTracker, *trackedConn){
-		"limit":           func(ct *connTracker, c *trackedConn) { ct.checkExpired(time.Now().Add(time.Hour), c) },
-		"end of the node": func(ct *connTracker, c *trackedConn) { go ct.end(context.Background()) },
+	for name, expire := range map[string]func(*Tracker, *Conn){
+		"limit":           func(ct *Tracker, c *Conn) { ct.checkExpired(time.Now().Add(time.Hour), c) },
+		"end of the node": func(ct *Tracker, c *Conn) { go ct.End(context.Background()) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			ct := newConnTracker(func() table.Limits { return table.Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute} }, intake.New(intake.LimitsFor(0, 0)), func(string, string) {})
+			ct := New(Config{
+				Limits: func() table.Limits { return table.Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute} },
+				Ledger: intake.New(intake.LimitsFor(0, 0)),
+				Record: func(string, string) {},
+			})
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			qt.Assert(t, err, qt.IsNil)
-			ln = ct.listen(ln)
+			ln = ct.Listen(ln)
 			defer ln.Close()
 			caller, err := net.Dial("tcp", ln.Addr().String())
 			qt.Assert(t, err, qt.IsNil)
 			defer caller.Close()
 			conn, err := ln.Accept()
 			qt.Assert(t, err, qt.IsNil)
-			defer ct.stateChanged(conn, http.StateClosed)
-			ct.stateChanged(conn, http.StateNew)
+			defer ct.StateChanged(conn, http.StateClosed)
+			ct.StateChanged(conn, http.StateNew)
 			_, err = fmt.Fprint(caller, "GET /")
 			qt.Assert(t, err, qt.IsNil)
 			time.Sleep(20 * time.Millisecond) // the request has arrived
-			expire(ct, conn.(*trackedConn))
+			expire(ct, conn.(*Conn))
 			time.Sleep(20 * time.Millisecond)
 			got := make([]byte, 5)
 			_, err = io.ReadFull(conn, got)
--- a/platform/tracked.go
+++ b/accept/conn.go
@@ -1,4 +1,4 @@
-package platform
+package accept
 
 import (
 	"bytes"
@@ -29,10 +29,10 @@
 	noRoomJitter       = 300 * time.Millisecond // by which that time varies, so that callers do not come back together
 )
 
-// trackedConn is a connection to one of the node's HTTP servers.
-type trackedConn struct {
+// Conn is a connection to one of the node's HTTP servers.
+type Conn struct {
 	net.Conn
-	tracker *connTracker
+	tracker *Tracker
 	id      uint64 // in the tracker's ledger
 
 	largeBuffer bool // the kernel's receive buffer has been enlarged; used by the goroutine that serves the connection
@@ -63,7 +63,7 @@
 
 // expire makes the Reads of the connection from now on return an error unless they return bytes. The tracker's
 // mutex is held.
-func (c *trackedConn) expire(now time.Time) {
+func (c *Conn) expire(now time.Time) {
 	if c.expired {
 		return // would end the read of bytes that have arrived
 	}
@@ -74,21 +74,21 @@
 
 // hasExpired reports whether the wait of the connection has ended. http.Server clears the read deadline
 // at times, so that a Read has to ask.
-func (c *trackedConn) hasExpired() bool {
+func (c *Conn) hasExpired() bool {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	return c.expired
 }
 
 // waitExpired reports whether the wait for the first byte of a request has ended.
-func (c *trackedConn) waitExpired() bool {
+func (c *Conn) waitExpired() bool {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	return c.expired && c.phase.waiting()
 }
 
 // yield ends the connection in favour of others. The tracker's mutex is held.
-func (c *trackedConn) yield(now time.Time) {
+func (c *Conn) yield(now time.Time) {
 	c.yielding = true
 	switch c.phase {
 	case phaseClosing:
@@ -105,8 +105,8 @@
 	}
 }
 
-// hasYielded reports whether the connection ends in favour of others.
-func (c *trackedConn) hasYielded() bool {
+// HasYielded reports whether the connection ends in favour of others.
+func (c *Conn) HasYielded() bool {
 	if c == nil {
 		return false
 	}
@@ -116,7 +116,7 @@
 }
 
 // Read implements net.Conn.
-func (c *trackedConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if e := c.headError(); e != nil {
 		c.refuse(e)
 	}
@@ -148,7 +148,7 @@
 }
 
 // headError returns why the header that is being received is rejected, or nil.
-func (c *trackedConn) headError() *apierr.Error {
+func (c *Conn) headError() *apierr.Error {
 	limit := c.tracker.limits().MaxHeaderBytes
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
@@ -164,7 +164,7 @@
 }
 
 // isRefused reports whether a request of the connection was rejected before it was parsed.
-func (c *trackedConn) isRefused() bool {
+func (c *Conn) isRefused() bool {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	return c.refused
@@ -173,7 +173,7 @@
 // account adds received bytes to what the connection costs. It returns an error if there is no room for
 // the header that they belong to. Bytes that follow a request that is served are read one at a time, so that
 // the others may fill the kernel's buffer; without room for that, the connection is closed.
-func (c *trackedConn) account(now time.Time, p []byte) *apierr.Error {
+func (c *Conn) account(now time.Time, p []byte) *apierr.Error {
 	ct := c.tracker
 	ct.mu.Lock()
 	if c.phase.waiting() {
@@ -204,7 +204,7 @@
 	case ok:
 		return nil
 	case phase == phaseBusy:
-		c.resetOnClose()
+		c.ResetOnClose()
 		// The error is ignored: the connection may be broken already.
 		_ = c.Conn.Close()
 		return nil
@@ -218,9 +218,9 @@
 	return intake.ConnCost + intake.RequestCost + intake.HeadCost(n, lines)
 }
 
-// beginRequest notes that a request with a header of n bytes in a number of lines is about to be served, which
+// BeginRequest notes that a request with a header of n bytes in a number of lines is about to be served, which
 // cancel ends. It returns an error if there is no room for it.
-func (c *trackedConn) beginRequest(now time.Time, n, lines int, cancel context.CancelFunc) *apierr.Error {
+func (c *Conn) BeginRequest(now time.Time, n, lines int, cancel context.CancelFunc) *apierr.Error {
 	ct := c.tracker
 	ct.mu.Lock()
 	if c.phase.waiting() { // it was read together with the request before
@@ -242,7 +242,7 @@
 }
 
 // receiveBody notes whether the body of a request is being read.
-func (c *trackedConn) receiveBody(now time.Time, reading bool) {
+func (c *Conn) receiveBody(now time.Time, reading bool) {
 	if c == nil {
 		return
 	}
@@ -259,7 +259,7 @@
 
 // growBody adds n bytes, which may be negative, to what the connection costs. It reports false, and adds
 // nothing, if there is no room for them.
-func (c *trackedConn) growBody(now time.Time, n int64) bool {
+func (c *Conn) growBody(now time.Time, n int64) bool {
 	if c == nil {
 		return true
 	}
@@ -269,7 +269,7 @@
 }
 
 // receiveLargeBody enlarges the kernel's receive buffer while a large body arrives, if there is room for that.
-func (c *trackedConn) receiveLargeBody(now time.Time) {
+func (c *Conn) receiveLargeBody(now time.Time) {
 	if c == nil || c.largeBuffer || !c.growBody(now, intake.BodyUnreadCost) {
 		return
 	}
@@ -278,7 +278,7 @@
 }
 
 // setReadBuffer sets the size of the kernel's receive buffer.
-func (c *trackedConn) setReadBuffer(n int) {
+func (c *Conn) setReadBuffer(n int) {
 	if t, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
 		// The error is ignored: the connection works with another size.
 		_ = t.SetReadBuffer(n)
@@ -286,7 +286,7 @@
 }
 
 // refuse answers a request that http.Server has not parsed, whose connection then ends.
-func (c *trackedConn) refuse(e *apierr.Error) {
+func (c *Conn) refuse(e *apierr.Error) {
 	body, err := json.Marshal(e)
 	if err != nil {
 		body = nil
@@ -307,7 +307,7 @@
 }
 
 // noteRead notes the result of a Read.
-func (c *trackedConn) noteRead(now time.Time, n int, err error) {
+func (c *Conn) noteRead(now time.Time, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && !c.responding {
@@ -320,7 +320,7 @@
 }
 
 // Write implements net.Conn.
-func (c *trackedConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.responding, c.unanswered = true, 0
 	c.mu.Unlock()
@@ -337,14 +337,14 @@
 }
 
 // noteWritten notes that a Write has ended, which may be that of an interim response while a body arrives.
-func (c *trackedConn) noteWritten() {
+func (c *Conn) noteWritten() {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	c.tracker.ledger.SetPhase(time.Now(), c.id, c.ledgerPhase())
 }
 
 // ledgerPhase returns the connection's phase as the ledger distinguishes it. The tracker's mutex is held.
-func (c *trackedConn) ledgerPhase() intake.Phase {
+func (c *Conn) ledgerPhase() intake.Phase {
 	if c.phase == phaseBusy && c.unread {
 		return intake.Pipelining
 	}
@@ -352,7 +352,7 @@
 }
 
 // noteIdle notes that a response has been written completely.
-func (c *trackedConn) noteIdle() {
+func (c *Conn) noteIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responding, c.unanswered = false, 0
@@ -360,7 +360,7 @@
 
 // Close implements net.Conn. It reports a request to which no part of a response was written although
 // its caller has not left.
-func (c *trackedConn) Close() error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	n, age, ended := c.unanswered, time.Since(c.readAt), c.ended
 	c.ended = true
@@ -377,7 +377,7 @@
 // linger closes the sending side after the last response, and discards what the client still sends until it
 // closes its side too, or the time for that ends. If a connection is closed with bytes unread, it is
 // reset, and the client may lose the response.
-func (c *trackedConn) linger() {
+func (c *Conn) linger() {
 	now := time.Now()
 	ct := c.tracker
 	ct.mu.Lock()
@@ -408,7 +408,7 @@
 }
 
 // stopLinger ends linger. The tracker's mutex is held.
-func (c *trackedConn) stopLinger(now time.Time) {
+func (c *Conn) stopLinger(now time.Time) {
 	// The error is ignored: the connection is broken, which linger notices.
 	_ = c.Conn.SetReadDeadline(now)
 }
@@ -419,8 +419,8 @@
 // discardBuffers holds buffers for bytes that are discarded.
 var discardBuffers = sync.Pool{New: func() any { return new([discardBytes]byte) }}
 
-// resetOnClose makes Close reset the connection, so that its end does not look like that of a response.
-func (c *trackedConn) resetOnClose() {
+// ResetOnClose makes Close reset the connection, so that its end does not look like that of a response.
+func (c *Conn) ResetOnClose() {
 	c.tracker.mu.Lock()
 	c.noLinger = true
 	c.tracker.mu.Unlock()
@@ -432,7 +432,7 @@
 
 // CloseWrite closes the sending side, and discards the rest of a request as linger does. net/http calls it
 // before it closes a connection with a request that was not read to its end.
-func (c *trackedConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	c.linger()
 	return nil
 }
--- a/platform/conn.go
+++ b/accept/tracker.go
@@ -1,4 +1,18 @@
-package platform
+// Package accept tracks the connections of a node's HTTP servers: it ends those that take too long for
+// a request, and bounds what all of them occupy.
+//
+// Model. A Tracker wraps the listeners of http.Servers and follows each connection through its phases. It rejects
+// a header over the limit in force while it arrives, and reads bodies within the memory that an intake.Ledger has
+// for them; the Ledger decides which connections yield to others.
+//
+// Invariants:
+//   - A request that http.Server has read gets an answer; time limits and yielding end only the wait for bytes,
+//     but for requests whose client does not read or has sent more.
+//   - A rejected request has not run, and its client can read the answer: what it still sends is discarded
+//     for a moment, as closing a connection with unread bytes resets it.
+//
+// Load pattern: see package intake.
+package accept
 
 import (
 	"context"
@@ -14,7 +28,7 @@
 
 const closePollInterval = 5 * time.Millisecond // between checks whether all connections are closed
 
-// connTracker tracks the connections to the node's HTTP servers. It ends those that do not send a
+// Tracker tracks the connections to a node's HTTP servers. It ends those that do not send a
 // complete header, or that send no further request, within the limits in force. It replaces the
 // timeouts of http.Server, which cannot change while the server runs, and http.Server.Shutdown, which
 // closes connections from which a request has been read.
@@ -22,18 +36,18 @@
 // The memory and the number of the connections are bounded by an intake.Ledger. A connection that
 // it does not admit is closed, and one that has to yield ends as if its time limit had passed.
 //
-// connTracker never closes an admitted connection itself, since it cannot know whether http.Server is about to handle
+// Tracker never closes an admitted connection itself, since it cannot know whether http.Server is about to handle
 // bytes that it has read. It sets a read deadline in the past instead, so that a Read returns either
 // bytes, and the request goes on, or an error, and http.Server closes the connection.
-type connTracker struct {
+type Tracker struct {
 	limits   func() table.Limits       // returns the limits in force
 	record   func(kind, detail string) // adds a line to the node's log
 	ledger   *intake.Ledger            // is called with mu held or not
 	mu       sync.Mutex
-	conns    map[*trackedConn]bool
-	byID     map[uint64]*trackedConn // by the id in the ledger
-	draining bool                    // the node stops: connections end after their response
-	closing  bool                    // the node closes its servers: connections are not kept open to discard bytes
+	conns    map[*Conn]bool
+	byID     map[uint64]*Conn // by the id in the ledger
+	draining bool             // the node stops: connections end after their response
+	closing  bool             // the node closes its servers: connections are not kept open to discard bytes
 }
 
 // connPhase is what a connection waits for.
@@ -67,33 +81,41 @@
 // waiting reports whether no byte of a request has been received that has not been answered.
 func (p connPhase) waiting() bool { return p == phaseNew || p == phaseIdle }
 
-func newConnTracker(limits func() table.Limits, ledger *intake.Ledger, record func(kind, detail string)) *connTracker {
-	return &connTracker{limits: limits, ledger: ledger, record: record, conns: map[*trackedConn]bool{}, byID: map[uint64]*trackedConn{}}
+// Config describes a Tracker.
+type Config struct {
+	Limits func() table.Limits       // returns the limits in force
+	Ledger *intake.Ledger            // of the memory and the number of connections
+	Record func(kind, detail string) // adds a line to the node's log
+}
+
+// New returns a tracker without connections.
+func New(cfg Config) *Tracker {
+	return &Tracker{limits: cfg.Limits, ledger: cfg.Ledger, record: cfg.Record, conns: map[*Conn]bool{}, byID: map[uint64]*Conn{}}
 }
 
-// connKey is the key of a request's *trackedConn in its context.
+// connKey is the key of a request's *Conn in its context.
 type connKey struct{}
 
-// connContext is the ConnContext hook of an http.Server whose listener listen has returned.
-func (ct *connTracker) connContext(ctx context.Context, c net.Conn) context.Context {
+// ConnContext is the ConnContext hook of an http.Server whose listener Listen has returned.
+func (ct *Tracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connOf returns the connection of a request, or nil if it is not tracked. The methods that a handler calls
+// Of returns the connection of a request, or nil if it is not tracked. The methods that a handler calls
 // accept nil, as nothing bounds such a connection.
-func connOf(r *http.Request) *trackedConn {
-	c, _ := r.Context().Value(connKey{}).(*trackedConn)
+func Of(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
 	return c
 }
 
 // admit returns a tracked connection for conn, or nil if there is no room for it.
-func (ct *connTracker) admit(now time.Time, conn net.Conn) *trackedConn {
+func (ct *Tracker) admit(now time.Time, conn net.Conn) *Conn {
 	id, yield, ok := ct.ledger.Open(now, intake.ConnCost)
 	ct.yield(now, yield)
 	if !ok {
 		return nil
 	}
-	c := &trackedConn{Conn: conn, tracker: ct, id: id}
+	c := &Conn{Conn: conn, tracker: ct, id: id}
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	ct.byID[id] = c
@@ -101,7 +123,7 @@
 }
 
 // yield ends connections in favour of others.
-func (ct *connTracker) yield(now time.Time, ids []uint64) {
+func (ct *Tracker) yield(now time.Time, ids []uint64) {
 	if len(ids) == 0 {
 		return
 	}
@@ -115,15 +137,15 @@
 	}
 }
 
-// listen returns a listener that accepts the connections of ln and tracks them.
-func (ct *connTracker) listen(ln net.Listener) net.Listener {
-	return &trackedListener{Listener: ln, tracker: ct}
+// Listen returns a listener that accepts the connections of ln and tracks them.
+func (ct *Tracker) Listen(ln net.Listener) net.Listener {
+	return &listener{Listener: ln, tracker: ct}
 }
 
-// stateChanged handles a change of a connection's state. It is the ConnState hook
-// of an http.Server whose listener listen has returned.
-func (ct *connTracker) stateChanged(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*trackedConn)
+// StateChanged handles a change of a connection's state. It is the ConnState hook
+// of an http.Server whose listener Listen has returned.
+func (ct *Tracker) StateChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
 	if !ok {
 		return
 	}
@@ -155,7 +177,7 @@
 }
 
 // enter begins a phase of a connection. The mutex is held.
-func (ct *connTracker) enter(now time.Time, c *trackedConn, p connPhase) {
+func (ct *Tracker) enter(now time.Time, c *Conn, p connPhase) {
 	c.phase, c.since = p, now
 	if p.waiting() {
 		c.unread = false
@@ -180,7 +202,7 @@
 }
 
 // limitOf returns the longest time that a connection may take for a phase by the limits in force.
-func (ct *connTracker) limitOf(p connPhase) time.Duration {
+func (ct *Tracker) limitOf(p connPhase) time.Duration {
 	if p == phaseIdle {
 		return ct.limits().IdleTimeout
 	}
@@ -190,7 +212,7 @@
 // checkExpired ends the wait of a connection whose phase has taken too long at the time now. The limit
 // is the longer one of those at the beginning of the phase and now: callers that know the new
 // configuration keep connections for the time that it allows, and the others for the time before.
-func (ct *connTracker) checkExpired(now time.Time, c *trackedConn) {
+func (ct *Tracker) checkExpired(now time.Time, c *Conn) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	if c.phase == phaseBusy || c.phase == phaseBody || c.phase == phaseClosing || !ct.conns[c] {
@@ -203,16 +225,16 @@
 	c.expire(now)
 }
 
-// openCount returns the number of open connections.
-func (ct *connTracker) openCount() int {
+// Open returns the number of open connections.
+func (ct *Tracker) Open() int {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	return len(ct.conns)
 }
 
-// busyCount returns the number of connections with a request, or a part of one, whose response has
+// Busy returns the number of connections with a request, or a part of one, whose response has
 // not been sent completely.
-func (ct *connTracker) busyCount() int {
+func (ct *Tracker) Busy() int {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	n := 0
@@ -224,9 +246,9 @@
 	return n
 }
 
-// drain ends the connections that wait for a further request, at the time now and whenever one has had
+// Drain ends the connections that wait for a further request, at the time now and whenever one has had
 // its response.
-func (ct *connTracker) drain(now time.Time) {
+func (ct *Tracker) Drain(now time.Time) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	ct.draining = true
@@ -237,10 +259,10 @@
 	}
 }
 
-// end ends all connections that wait for a request, and waits until those with a request have had
+// End ends all connections that wait for a request, and waits until those with a request have had
 // their response, or ctx ends.
-func (ct *connTracker) end(ctx context.Context) {
-	ct.drain(time.Now())
+func (ct *Tracker) End(ctx context.Context) {
+	ct.Drain(time.Now())
 	ct.mu.Lock()
 	ct.closing = true
 	for c := range ct.conns {
@@ -249,7 +271,7 @@
 		}
 	}
 	ct.mu.Unlock()
-	for ct.openCount() > 0 && ctx.Err() == nil {
+	for ct.Open() > 0 && ctx.Err() == nil {
 		ct.mu.Lock()
 		for c := range ct.conns {
 			if c.phase == phaseNew { // accepted at the last moment
@@ -261,16 +283,16 @@
 	}
 }
 
-// trackedListener accepts connections that a connTracker tracks.
-type trackedListener struct {
+// listener accepts connections that a Tracker tracks.
+type listener struct {
 	net.Listener
-	tracker *connTracker
+	tracker *Tracker
 	once    sync.Once
 	err     error // of the first Close
 }
 
 // Accept implements net.Listener.
-func (ln *trackedListener) Accept() (net.Conn, error) {
+func (ln *listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := ln.Listener.Accept()
 		if err != nil {
@@ -286,7 +308,7 @@
 
 // Close implements net.Listener. Only the first call has an effect, as http.Server closes its listener
 // again.
-func (ln *trackedListener) Close() error {
+func (ln *listener) Close() error {
 	ln.once.Do(func() { ln.err = ln.Listener.Close() })
 	return ln.err
 }
