--- a/intake/cost.go
+++ b/intake/cost.go
@@ -23,19 +23,19 @@
 )
 
 const (
-	ownMemory     = 32 << 20 // bytes that a node needs without clients
-	minOwnShare   = 0.2      // of the memory that clients get at least
-	clientShare   = 0.4      // of the memory beside ownMemory; responses, garbage and the kernel's buffers take the others
-	bulkShare     = 2.0 / 3  // of the clients' memory, for large requests
-	smallRequest  = 128 << 10
-	spareSockets  = 8 // 1/spareSockets of the sockets are for other nodes, the store and listeners
-	stall         = 500 * time.Millisecond
-	DefaultMemory = 256 << 20 // bytes of a host whose memory is not known
-	DefaultSocket = 4096      // sockets of a process whose limit is not known
+	ownMemory      = 32 << 20 // bytes that a node needs without clients
+	minOwnShare    = 0.2      // of the memory that clients get at least
+	clientShare    = 0.4      // of the memory beside ownMemory; responses, garbage and the kernel's buffers take the others
+	bulkShare      = 2.0 / 3  // of the clients' memory, for large requests
+	smallRequest   = 128 << 10
+	spareSockets   = 8 // 1/spareSockets of the sockets are for other nodes, the store and listeners
+	stall          = 500 * time.Millisecond
+	DefaultMemory  = 256 << 20 // bytes of a host whose memory is not known
+	DefaultSockets = 4096      // sockets of a process whose limit is not known
 )
 
 // LimitsFor returns the limits of a node on a host with the given memory, in bytes, whose process may
-// have a number of sockets open. Zero stands for DefaultMemory and DefaultSocket. Each request in
+// have a number of sockets open. Zero stands for DefaultMemory and DefaultSockets. Each request in
 // flight may need a second socket, to an endpoint.
 func LimitsFor(memory int64, sockets int) Limits {
 	if memory <= 0 {
@@ -45,10 +45,10 @@
 }
 
 // LimitsOf returns the limits of a node whose clients may occupy n bytes, and whose process may have a number
-// of sockets open; zero sockets stand for DefaultSocket.
+// of sockets open; zero sockets stand for DefaultSockets.
 func LimitsOf(n int64, sockets int) Limits {
 	if sockets <= 0 {
-		sockets = DefaultSocket
+		sockets = DefaultSockets
 	}
 	return Limits{
 		Bytes: n,
@@ -75,7 +75,7 @@
 		memory = DefaultMemory
 	}
 	if sockets <= 0 {
-		sockets = DefaultSocket
+		sockets = DefaultSockets
 	}
 	n := memory / strangerShare
 	return Limits{Bytes: n, Bulk: n, Small: n, Conns: min(max(sockets/strangerShare, minStrangers), maxStrangers), Stall: stall}
