--- a/feed/feed.go
+++ b/feed/feed.go
@@ -29,6 +29,7 @@
 	watchTimeout        = time.Second            // of one watch without changes; each response shows the other nodes that the store works
 	removalMargin       = 60 * time.Millisecond  // by which a watch outlasts the delay of held removals
 	readerCheckInterval = 100 * time.Millisecond // between checks of whether this node must watch the store
+	confirmDelay        = time.Second            // after the first list until a node that still watches the store lists it again; by then nodes that start together know which of them do
 	minRetryBackoff     = 100 * time.Millisecond // after the first failed call; doubles
 	maxRetryBackoff     = time.Second
 )
@@ -127,21 +128,29 @@
 func (f *Feed) follow(ctx context.Context) {
 	f.postNodes(ctx)
 	backoff := minRetryBackoff
-	var at fleet.Version // of the last result
-	listed, stale, reads := false, true, true
+	var at fleet.Version    // of the last result
+	var confirmAt time.Time // when the first list is confirmed; zero if it is not
+	listed, stale, first, reads := false, true, true, true
 	for ctx.Err() == nil {
 		reads = f.recordReading(reads, !listed || fleet.ReadsStore(f.cfg.Daemon.State(), time.Now()))
 		if !reads {
 			f.failing.Store(false)
+			confirmAt = time.Time{}
 			wait.For(ctx, readerCheckInterval)
 			continue
 		}
 		var err error
-		if listed {
-			at, err = f.watch(ctx, at)
-		} else {
+		switch {
+		case !listed:
 			at, err = f.list(ctx, stale)
 			stale = false
+			if first && err == nil {
+				first, confirmAt = false, time.Now().Add(confirmDelay)
+			}
+		case !confirmAt.IsZero() && !time.Now().Before(confirmAt):
+			at, confirmAt, err = f.confirm(ctx, at)
+		default:
+			at, err = f.watch(ctx, at)
 		}
 		f.versions.wake()
 		f.postHeldRemovals(ctx, time.Now())
@@ -186,7 +195,7 @@
 // endpoints that this node knows but the store no longer holds. Load pattern: when all
 // nodes start at once, their lists exceed the store's rate of reads many times over. So a
 // node first makes do with a stale list, to which that does not apply: a watch brings the
-// readers up to date, and they the others.
+// readers up to date, and they the others. Readers confirm it later.
 func (f *Feed) list(ctx context.Context, stale bool) (fleet.Version, error) {
 	var r store.Range
 	var err error
@@ -207,6 +216,7 @@
 		f.cfg.Daemon.Record(trace.Entry{Kind: "store-restored", Detail: fmt.Sprintf("the store was restored from a copy: era %d after %d, revision %d after %d", r.Era, f.listed.Era, r.Revision, f.listed.Revision)})
 		f.outage = f.outage.WithRestoration(time.Now())
 	}
+	f.cfg.Daemon.Record(trace.Entry{Kind: "store-listed", Detail: fmt.Sprintf("%d entries of the store in era %d, stale %t, read at revisions %d to %d; changes after revision %d follow", len(r.Entries), r.Era, stale, r.Revision, max(r.Revision, r.Newest), version.Revision)})
 	f.recordEra(time.Now(), r.Era)
 	f.listed = version
 	clear(f.nodesByKey)
@@ -217,6 +227,23 @@
 	return version, nil
 }
 
+// confirm lists the store once more after the first list. It returns the version for the next watch, and when
+// the list must still be confirmed. What nodes learned of each other's stale lists may include
+// endpoints that the store no longer holds, of which no watch tells a node whose list was newer.
+// A failure holds back no removals, as the watch goes on.
+func (f *Feed) confirm(ctx context.Context, at fleet.Version) (fleet.Version, time.Time, error) {
+	version, err := f.list(ctx, false)
+	var otherEra *store.EraError
+	switch {
+	case err == nil:
+		return version, time.Time{}, nil
+	case errors.As(err, &otherEra):
+		return at, time.Time{}, err
+	}
+	f.cfg.Daemon.Record(trace.Entry{Kind: "store-unconfirmed", Detail: err.Error()})
+	return at, time.Now().Add(confirmDelay), nil
+}
+
 // postRemovals removes the endpoints for which absent is true, as of the last list.
 func (f *Feed) postRemovals(ctx context.Context, absent func(id string) bool) {
 	var removals kernel.ItemsLearned
--- a/store/store.go
+++ b/store/store.go
@@ -30,7 +30,8 @@
 // Range is the result of a read or a watch.
 type Range struct {
 	Entries  []Entry
-	Revision int64 // store revision of the result
+	Revision int64 // store revision of the result; of its oldest part if it was read in several
+	Newest   int64 // store revision of its newest part; 0 if it was read at once
 	Era      int64 // era that the revisions belong to
 }
 
@@ -78,8 +79,9 @@
 	// next Watch starts at the revision of the result. A *CompactedError means
 	// that the service no longer has the changes, so that List must be called.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Range, error)
-	// ListStale is List of all keys with a prefix, except that the result may be
-	// seconds old. The service limits the rate of such reads less, or not at all.
+	// ListStale is List of all keys with a prefix, except that the result, or parts
+	// of it, may be seconds old. The service limits the rate of such reads less, or
+	// not at all.
 	ListStale(ctx context.Context, prefix string) (Range, error)
 }
 
