--- a/entry/crash.go
+++ b/entry/crash.go
@@ -13,11 +13,11 @@
 // crashCheck finds out whether an endpoint whose connections broke has crashed.
 type crashCheck struct {
 	endpoint fleet.Endpoint
-	lost     []*routedRequest // of this node, which ran there without any output
+	lost     []*routedRequest // of this node, which ran there and are not known to be sound
 }
 
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
-// request broke before it had any output, or adds the request to the check that runs. A
+// request broke that is not known to be sound, or adds the request to the check that runs. A
 // request that a quarantine has ended may still have crashed the endpoint, and explains it. An
 // endpoint that is leaving ends as planned, so it is not checked, and neither is one in an
 // evacuated data centre, as it gets no more connections.
@@ -60,7 +60,7 @@
 	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
 	for _, rr := range c.lost {
 		report.Requests, report.Own = append(report.Requests, rr.traits), append(report.Own, rr.ownTrait())
-		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request, which had no output yet; traits: "+rr.describeHashes())
+		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request or began to answer it; traits: "+rr.describeHashes())
 	}
 	s.cfg.Daemon.Post(ctx, report)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -46,6 +46,7 @@
 	unnumbered         bool        // the caller has an event without an id, so that no engine can go on exactly after it
 	attempts           int
 	refusals           int
+	sound              bool // one engine has sent minSoundEvents of its events, so that it crashes no engine that begins to answer it
 	lastErr            error
 	version            *string       // of the engines that made the events which the caller has; nil if it has none
 	rejected           time.Duration // after which room is expected, when the forecast kept the generation from being placed; else 0
@@ -130,7 +131,7 @@
 	if rr.mayHaveRun && (!rr.route.Retryable() || g.attempts >= rr.route.MaxAttempts) {
 		return false
 	}
-	if g.attempts > 0 && g.events == 0 {
+	if g.attempts > 0 && !g.sound {
 		s.holdSuspected(g.ctx, rr)
 	}
 	var ok bool
@@ -247,10 +248,11 @@
 		g.lastErr = &relay.LostError{Addr: g.endpoint.Addr, Err: err}
 		s.recordFailure(g.ctx, g.endpoint, g.lastErr)
 		s.record("attempt-failed", g.routed.req, g.endpoint.ID, fmt.Sprintf("status %d, and its body: %v", resp.Status, g.lastErr))
+		g.checkCrash(g.lastErr)
 		return false
 	}
 	defer s.bodies.release(body)
-	s.reportOutput(g.routed)
+	g.reportSound()
 	s.recordOutcome(g.endpoint.ID, resp.Status < http.StatusInternalServerError)
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
@@ -290,7 +292,7 @@
 			g.recordEvent(seg)
 		}
 		if err == nil && seg.events == minSoundEvents || errors.Is(err, io.EOF) && !resp.UntilClose {
-			s.reportOutput(g.routed)
+			g.reportSound()
 		}
 		if err == nil || errors.Is(err, io.EOF) && !g.headerSent {
 			if writeErr := g.writeEvent(event, resp); writeErr != nil {
@@ -379,9 +381,17 @@
 }
 
 // checkCrash checks whether the engine has crashed that lost the generation, unless the
-// generation has had output.
+// generation is known to be sound. What the caller or earlier engines have of the stream does not
+// show that: each of these engines may have crashed after its first event.
 func (g *generation) checkCrash(err error) {
-	if g.events < minSoundEvents && g.routed.req.LastEventID == "" {
+	if !g.sound {
 		g.server.checkCrash(g.ctx, g.routed, g.endpoint, err)
 	}
 }
+
+// reportSound records that an engine has answered the generation for longer than one that is about
+// to crash.
+func (g *generation) reportSound() {
+	g.sound = true
+	g.server.reportOutput(g.routed)
+}
