--- a/carry/carry.go
+++ b/carry/carry.go
@@ -60,10 +60,13 @@
 	// Open opens a stream to another node, whose Carrier.Serve gets it.
 	Open func(ctx context.Context, node string, first *wire.Frame) (Stream, error)
 	// Nodes returns the ids of the other nodes that may carry connections.
-	Nodes   func() []string
-	Record  func(e trace.Entry)
-	Metrics *metrics.Set
-	Seed    uint64
+	Nodes func() []string
+	// Endpoints returns the addresses of endpoints to which the node may connect at any time; nil
+	// for none.
+	Endpoints func() []string
+	Record    func(e trace.Entry)
+	Metrics   *metrics.Set
+	Seed      uint64
 }
 
 // Carrier connects one node to endpoints, and carries connections of other nodes.
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -96,7 +96,8 @@
 				}
 				return ids
 			},
-			Record: func(trace.Entry) {}, Metrics: metrics.NewSet(), Seed: uint64(i),
+			Endpoints: func() []string { return []string{"e0", "e1", "e2", "e3"} },
+			Record:    func(trace.Entry) {}, Metrics: metrics.NewSet(), Seed: uint64(i),
 		})
 	}
 	return n
@@ -278,6 +279,31 @@
 	_ = conn.Close()
 }
 
+// TestEndpointsEndInTurn guards against endpoints that no node takes for ended, because all nodes count as
+// cut off once two endpoints have ended and no other connection was opened since.
+func TestEndpointsEndInTurn(t *testing.T) {
+	for _, nodes := range []int{1, 2, 4, 27} {
+		n := newNetwork(nodes)
+		for _, addr := range []string{"e0", "e1", "e2"} {
+			n.down[addr] = true
+			for range 3 { // as often as relay.Client.HasEnded tries
+				for id, c := range n.carriers {
+					_, err := c.Dial(context.Background(), relay.Target{Addr: addr})
+					qt.Assert(t, err, qt.ErrorIs, syscall.ECONNREFUSED, qt.Commentf("%s at %s", addr, id))
+				}
+			}
+		}
+		for _, c := range n.carriers {
+			qt.Assert(t, c.paths.isolated(), qt.IsFalse)
+		}
+		n.takeConnected()
+		n.setCut(nodes)
+		n.dialFrom(t, nodes, 4)
+		_, err := n.carriers["n0"].Dial(context.Background(), relay.Target{Addr: "e3"})
+		qt.Assert(t, err, qt.Not(qt.ErrorIs), syscall.ECONNREFUSED)
+	}
+}
+
 // carried returns a connection of n0, which is cut off, through n1.
 func (n *network) carried(t *testing.T) net.Conn {
 	n.setCut(1)
--- a/carry/dial.go
+++ b/carry/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -20,6 +21,8 @@
 	defaultDialTimeout = 2 * time.Second        // if the target states none
 	maxAsked           = 6                      // nodes asked for one connection; those that are cut off answer at once
 	maxHedges          = 2                      // further ways tried before the earlier ones have failed
+	maxVerified        = 3                      // endpoints tried before a node counts as isolated; each may have crashed as well
+	verifyTimeout      = 100 * time.Millisecond // of each of them
 )
 
 // DialError says why an endpoint could not be reached. Nothing was sent to it.
@@ -155,11 +158,48 @@
 	go func() {
 		defer cancel()
 		conn, err := c.cfg.Dial(ctx, t)
-		c.recordDirect(time.Now(), t.Addr, err)
+		c.recordDial(ctx, t.Addr, err)
 		d.results <- dialResult{conn: conn, err: err}
 	}()
 }
 
+// recordDial is recordDirect for a connection to an endpoint that a request or another node asked for. A
+// node that a refusal makes isolated first tries other endpoints, since endpoints that have crashed refuse
+// connections too.
+func (c *Carrier) recordDial(ctx context.Context, addr string, err error) {
+	now := time.Now()
+	c.recordDirect(now, addr, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.verifyIsolation(ctx, now)
+	}
+}
+
+// verifyIsolation connects to endpoints that an isolated node has not lost, until it reaches one.
+func (c *Carrier) verifyIsolation(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	due := c.paths.mustVerify(now)
+	c.mu.Unlock()
+	if !due || c.cfg.Endpoints == nil {
+		return
+	}
+	addrs := c.cfg.Endpoints()
+	c.mu.Lock()
+	addrs = slices.DeleteFunc(addrs, func(addr string) bool { return c.paths.lost[addr] })
+	c.rand.Shuffle(len(addrs), func(i, k int) { addrs[i], addrs[k] = addrs[k], addrs[i] })
+	c.mu.Unlock()
+	for _, addr := range addrs[:min(len(addrs), maxVerified)] {
+		conn, err := c.cfg.Dial(ctx, relay.Target{Addr: addr, Timeout: verifyTimeout, Started: true})
+		if ctx.Err() != nil {
+			return
+		}
+		c.recordDirect(time.Now(), addr, err)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
 // ask begins to connect through another node. It reports false if there is none to ask.
 func (d *dialling) ask(ctx context.Context, now time.Time) bool {
 	c := d.carrier
--- a/carry/node.go
+++ b/carry/node.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/plantaindeck/plantaindeck/daemon"
+	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/wire"
@@ -21,9 +23,10 @@
 		Open: func(ctx context.Context, node string, first *wire.Frame) (Stream, error) {
 			return d.OpenStream(ctx, node, first)
 		},
-		Nodes:   func() []string { return member.Of(d.State()).OthersServing() },
-		Record:  d.Record,
-		Metrics: d.Metrics(),
-		Seed:    seed,
+		Nodes:     func() []string { return member.Of(d.State()).OthersServing() },
+		Endpoints: func() []string { return fleet.Of(d.State()).SettledAddrs(time.Now()) },
+		Record:    d.Record,
+		Metrics:   d.Metrics(),
+		Seed:      seed,
 	})
 }
--- a/carry/paths.go
+++ b/carry/paths.go
@@ -29,6 +29,7 @@
 	lost     map[string]bool // addresses that were lost since the node last reached any
 	bypassed bool            // another node has reached one of the lost addresses
 	testAt   time.Time       // when an isolated node tries a path itself again
+	verifyAt time.Time       // until then an isolated node does not verify again that it reaches no endpoint
 }
 
 // path is one that was lost.
@@ -77,7 +78,18 @@
 		clear(p.byAddr) // what was lost by the cut is back with it
 	}
 	clear(p.lost)
-	p.bypassed, p.testAt = false, time.Time{}
+	p.bypassed, p.testAt, p.verifyAt = false, time.Time{}, time.Time{}
+}
+
+// mustVerify reports whether the node is isolated and has not verified that lately. Load pattern: several
+// endpoints crash one after the other under requests that are alike, while the node opens no other
+// connections. Until it reaches an endpoint, it cannot tell these crashes from a cut of its own paths.
+func (p *paths) mustVerify(now time.Time) bool {
+	if !p.isolated() || now.Before(p.verifyAt) {
+		return false
+	}
+	p.verifyAt = now.Add(testInterval)
+	return true
 }
 
 // failed notes that the node could not reach an address itself.
--- a/carry/serve.go
+++ b/carry/serve.go
@@ -86,11 +86,12 @@
 		return nil, wire.Obstacle_ISOLATED, "it does not reach the endpoint itself"
 	}
 	wait := min(time.Duration(open.GetWait())*time.Millisecond, maxWait)
-	conn, err := c.cfg.Dial(ctx, relay.Target{Addr: open.GetAddr(), Timeout: wait, Endpoint: open.GetEndpoint(), Started: open.GetStarted()})
+	t := relay.Target{Addr: open.GetAddr(), Timeout: wait, Endpoint: open.GetEndpoint(), Started: open.GetStarted()}
+	conn, err := c.cfg.Dial(ctx, t)
 	if err != nil && ctx.Err() != nil {
 		return nil, wire.Obstacle_BUSY, "the session with it has ended"
 	}
-	c.recordDirect(time.Now(), open.GetAddr(), err)
+	c.recordDial(ctx, t.Addr, err)
 	if err == nil {
 		return conn, wire.Obstacle_NONE, ""
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,6 +33,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -227,6 +228,21 @@
 	return list
 }
 
+// SettledAddrs returns the addresses of the known endpoints that take connections at any time: they are
+// neither leaving, cold nor in an evacuated data centre.
+func (v *View) SettledAddrs(now time.Time) []string {
+	var addrs []string
+	for _, endpoints := range v.services {
+		for _, e := range endpoints {
+			if !e.Leaving && !v.IsCold(now, e) && !v.IsEvacuated(e) {
+				addrs = append(addrs, e.Addr)
+			}
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
+
 // GoneAt returns when an endpoint that reported itself as leaving will be gone, or
 // the zero time if that is unknown.
 func (v *View) GoneAt(id string) time.Time { return v.leaveReports[id].goneAt }
