--- a/fleet/step.go
+++ b/fleet/step.go
@@ -152,7 +152,8 @@
 	v.records.put(name, r)
 	if r.table != nil {
 		v.table = r.table
-		return []kernel.Effect{kernel.Record{Kind: "table", Detail: fmt.Sprintf("routing table version %d", r.table.Version())}}
+		keys, required := r.table.KeyCount()
+		return []kernel.Effect{kernel.Record{Kind: "table", Detail: fmt.Sprintf("routing table version %d with %d keys, required %t", r.table.Version(), keys, required)}}
 	}
 	if centre, evacuation := evacuationOf(r.item); evacuation {
 		return v.putEvacuation(centre, r.item)
--- a/table/table.go
+++ b/table/table.go
@@ -63,8 +63,8 @@
 }
 
 // Service returns the service whose share contains the given point in [0, 1), over
-// which the shares are laid out by weight. It returns an empty name if the route
-// has no shares.
+// which the shares are laid out by weight. It returns an empty name if no share has a
+// weight.
 func (r *Route) Service(point float64) string {
 	total := 0
 	for _, s := range r.Shares {
@@ -76,10 +76,7 @@
 			return s.Service
 		}
 	}
-	if len(r.Shares) == 0 {
-		return ""
-	}
-	return r.Shares[len(r.Shares)-1].Service
+	return ""
 }
 
 // Engine describes the model engines of a service.
@@ -140,7 +137,10 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// KeysRequired says that requests carry the key of a workspace, even if no workspace, or none
+	// with a key, is left. It is implied if there are workspaces.
+	KeysRequired bool `json:"Keyed"`
+	Limits       Limits
 }
 
 // keyHash is the SHA-256 hash of a workspace key.
@@ -153,6 +153,7 @@
 	routes   map[string]map[string]*Route // by host, then by prefix
 	services map[string]*Service
 	keys     map[keyHash]*Workspace
+	keyed    bool              // requests carry the key of a workspace
 	urgent   map[string]Urgent // by service
 	// resumable holds the names of the services of resumable routes, sorted.
 	resumable       []string
@@ -167,6 +168,7 @@
 		routes:   map[string]map[string]*Route{},
 		services: map[string]*Service{},
 		keys:     map[keyHash]*Workspace{},
+		keyed:    cfg.KeysRequired || len(cfg.Workspaces) > 0,
 		urgent:   urgentByService(cfg.Routes),
 
 		resumableRoutes: map[string]bool{},
@@ -240,12 +242,14 @@
 	return s, ok
 }
 
-// NeedsKey reports whether a request on r must carry a key. No request needs one
-// while the table has no keys.
+// NeedsKey reports whether a request on r must carry a key, also while no key is valid.
 func (t *Table) NeedsKey(r *Route) bool {
-	return len(t.keys) > 0 && !r.Public
+	return t.keyed && !r.Public
 }
 
+// KeyCount returns the number of valid keys, and whether requests must carry one.
+func (t *Table) KeyCount() (n int, required bool) { return len(t.keys), t.keyed }
+
 // Identify returns the workspace that a key belongs to. The lookup compares
 // hashes, so that its duration reveals nothing about the keys.
 func (t *Table) Identify(key string) (*Workspace, bool) {
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -53,6 +53,16 @@
 	qt.Assert(t, (&table.Route{}).Service(0.5), qt.Equals, "")
 }
 
+// TestNoShareIsLeft guards against requests that a service gets whose share has been taken away.
+func TestNoShareIsLeft(t *testing.T) {
+	for _, point := range []float64{0, 0.5, 0.999999} {
+		none := table.Route{Shares: []table.Share{{Service: "a"}, {Service: "b"}}}
+		qt.Assert(t, none.Service(point), qt.Equals, "")
+		first := table.Route{Shares: []table.Share{{Service: "a", Weight: 3}, {Service: "b"}}}
+		qt.Assert(t, first.Service(point), qt.Equals, "a")
+	}
+}
+
 func TestKeys(t *testing.T) {
 	tab := table.New(table.Config{Workspaces: []table.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}}})
 	w, ok := tab.Identify("k2")
@@ -65,6 +75,21 @@
 	qt.Assert(t, table.New(table.Config{}).NeedsKey(&table.Route{}), qt.IsFalse)
 }
 
+// TestNoKeyIsLeft guards against requests that need no key once the last key, or the last workspace, has
+// been taken away.
+func TestNoKeyIsLeft(t *testing.T) {
+	for _, cfg := range []table.Config{
+		{Workspaces: []table.Workspace{{Name: "w"}}},
+		{KeysRequired: true},
+	} {
+		tab := table.New(cfg)
+		qt.Assert(t, tab.NeedsKey(&table.Route{}), qt.IsTrue)
+		qt.Assert(t, tab.NeedsKey(&table.Route{Public: true}), qt.IsFalse)
+		_, ok := tab.Identify("k1")
+		qt.Assert(t, ok, qt.IsFalse)
+	}
+}
+
 func TestRetryable(t *testing.T) {
 	for _, test := range []struct {
 		route table.Route
