--- a/assign/reconcile.go
+++ b/assign/reconcile.go
@@ -10,6 +10,7 @@
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/owner"
 	"github.com/plantaindeck/plantaindeck/policy"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/plantaindeck/plantaindeck/store"
 	"github.com/valyala/fasthttp"
@@ -41,7 +42,7 @@
 func New(cfg Config) *Reconciler {
 	return &Reconciler{
 		cfg:   cfg,
-		http:  &fasthttp.Client{MaxResponseBodySize: maxResponseBytes, ReadTimeout: commandTimeout, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }},
+		http:  &fasthttp.Client{Dial: socket.DialChecked, MaxResponseBodySize: maxResponseBytes, ReadTimeout: commandTimeout, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }},
 		locks: map[string]*Lock{},
 	}
 }
--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/apierr"
 	"github.com/plantaindeck/plantaindeck/front"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/plantaindeck/plantaindeck/wait"
 	"github.com/valyala/fasthttp"
 )
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return c, nil
+	return socket.Checked(c), nil
 }
 
 // Addresses returns the addresses to use, in order of preference. It asks a node
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -23,6 +23,8 @@
 	lose   behaviour = "lose"    // reads the request and closes the connection
 	notRun behaviour = "not-run" // responds with an error whose outcome is not-run
 	run    behaviour = "run"     // responds with success
+	odd    behaviour = "odd"     // responds with a status code that HTTP does not define
+	low    behaviour = "low"     // responds with one that is below those of errors
 )
 
 // node is a fake node. It follows its behaviours in order and then repeats the last.
@@ -57,10 +59,17 @@
 		ctx.SetBody(data)
 		return
 	}
-	switch n.next() {
+	switch b := n.next(); b {
 	case lose:
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	case odd, low:
+		status := map[behaviour]string{odd: "999", low: "000"}[b]
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {
+			_, _ = c.Write([]byte("HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\ndone"))
+			_ = c.Close()
+		})
 	case notRun:
 		apierr.NotRun(fasthttp.StatusServiceUnavailable, apierr.CodeUnavailable, "not now").Write(ctx)
 	case run:
@@ -100,6 +109,9 @@
 		{"lost, not idempotent", []behaviour{lose, run}, "", false, apierr.OutcomeUnknown, 1},
 		{"lost, with an idempotency key", []behaviour{lose, run}, "k", false, "", 2},
 		{"lost, idempotent", []behaviour{lose, run}, "", true, "", 2},
+		{"status 999", []behaviour{odd, run}, "", false, apierr.OutcomeUnknown, 1},
+		{"status 000", []behaviour{low, run}, "", false, apierr.OutcomeUnknown, 1},
+		{"status 000, idempotent", []behaviour{low, run}, "", true, "", 2},
 		{"always not run", []behaviour{notRun}, "", false, apierr.OutcomeNotRun, 0},
 		{"lost, then not run", []behaviour{lose, notRun}, "k", false, apierr.OutcomeUnknown, 0},
 	}
--- a/daemon/poll.go
+++ b/daemon/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/kernel"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 )
@@ -81,7 +82,7 @@
 // Load pattern: an engine's response never ends; without a bound, the node keeps what arrives
 // within pollTimeout, which can be more than its memory.
 func newPollClient(maxBody int) *fasthttp.Client {
-	return &fasthttp.Client{MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true, MaxResponseBodySize: maxBody}
+	return &fasthttp.Client{Dial: socket.DialChecked, MaxConnsPerHost: 4, NoDefaultUserAgentHeader: true, MaxResponseBodySize: maxBody}
 }
 
 // getJSON decodes the body of a response with status 200 into v.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -140,6 +140,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := socket.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/relay/kept.go
+++ b/relay/kept.go
@@ -229,6 +229,9 @@
 		if err != nil {
 			return KeptResponse{}, false, err
 		}
+		if err := socket.CheckStatus(resp.StatusCode); err != nil {
+			return KeptResponse{}, false, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/valyala/fasthttp"
 )
 
@@ -144,7 +145,7 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return &stallConn{Conn: conn, timeout: c.cfg.StallTimeout}, nil
+	return socket.Checked(&stallConn{Conn: conn, timeout: c.cfg.StallTimeout}), nil
 }
 
 // stallConn is a connection whose reads fail when no byte arrives within the
--- a/store/client.go
+++ b/store/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/plantaindeck/plantaindeck/socket"
 	"github.com/valyala/fasthttp"
 )
 
@@ -34,6 +35,7 @@
 func NewClient(cfg Config) *Client {
 	return &Client{cfg: cfg, clusters: map[uint64]int64{}, http: &fasthttp.HostClient{
 		Addr:                cfg.Addr,
+		Dial:                socket.DialChecked,
 		MaxConns:            maxConns,
 		MaxResponseBodySize: maxResponseBytes,
 		// A failed call is not retried here, since it may have taken effect.
