--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,9 @@
 	// OnSaveQuarantine is called with the quarantines to write to the platform's store. It must
 	// not block, and may be nil.
 	OnSaveQuarantine func(q kernel.SaveQuarantine)
+	// OnSaveOrigin is called with the origins of streams to write to the platform's store. It must
+	// not block, and may be nil.
+	OnSaveOrigin func(o kernel.SaveOrigin)
 }
 
 // Daemon drives the kernel of one node.
@@ -280,6 +283,10 @@
 		if d.cfg.OnSaveQuarantine != nil {
 			d.cfg.OnSaveQuarantine(f)
 		}
+	case kernel.SaveOrigin:
+		if d.cfg.OnSaveOrigin != nil {
+			d.cfg.OnSaveOrigin(f)
+		}
 	case kernel.Raise:
 		// Step handles these itself and never returns them.
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -179,10 +179,9 @@
 	FirstStart bool
 	BodyMemory int64         // bytes of all responses that are read whole at the same time; 0 for a default
 	AddressTTL time.Duration // how long callers may use a list of entry hosts
-	// SoleOrigin returns the service and the software version that have begun all streams which may
-	// still run, and whether the platform's store says that there is only one of each. nil: it never
-	// does.
-	SoleOrigin   func(ctx context.Context) (service, version string, sole bool)
+	// StoredOrigin returns the service and the software version that have begun the stream of a request,
+	// given its originKey, and whether the platform's store tells that. nil: it never does.
+	StoredOrigin func(ctx context.Context, request string) (service, version string, known bool)
 	StoreFailing func() bool // reports whether this node's reads of the store fail at present; nil for never
 }
 
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	origin, source := s.cfg.Daemon.FindOrigin(ctx, originKey(rr.req.ResumedID)), "a node"
 	if !origin.Known {
-		origin, source = s.soleOrigin(ctx, time.Now()), "the store's record"
+		origin, source = s.storedOrigin(ctx, time.Now(), originKey(rr.req.ResumedID)), "the store"
 	}
 	svc, version, err := resumePoint(s.view(), rr, origin)
 	if err != nil {
@@ -41,17 +41,17 @@
 	return nil
 }
 
-// soleOrigin returns the origin of a stream that no node knows, if only one version of one service can
-// have begun it. Load pattern: after all nodes have ended, every caller whose stream broke comes back
-// to a node that has listed the endpoints for a moment only, while the endpoints of the version that
-// began the stream may have left, and the route may have moved to another service. So the node asks the
-// store, unless that is known to be silent.
-func (s *Server) soleOrigin(ctx context.Context, now time.Time) kernel.OriginFound {
-	if s.cfg.SoleOrigin == nil || fleet.StoreSilent(s.cfg.Daemon.State(), now) {
+// storedOrigin returns the origin of a stream that no node knows, if the store tells it. Load pattern:
+// after all nodes have ended, every caller whose stream broke comes back to a node that has listed the
+// endpoints for a moment only, while the endpoints of the version that began the stream may have left,
+// and the route may have moved to another service. So the node asks the store, unless that is known to
+// be silent.
+func (s *Server) storedOrigin(ctx context.Context, now time.Time, request string) kernel.OriginFound {
+	if s.cfg.StoredOrigin == nil || fleet.StoreSilent(s.cfg.Daemon.State(), now) {
 		return kernel.OriginFound{}
 	}
-	service, version, sole := s.cfg.SoleOrigin(ctx)
-	return kernel.OriginFound{Known: sole, Service: service, Version: version}
+	service, version, known := s.cfg.StoredOrigin(ctx, request)
+	return kernel.OriginFound{Known: known, Service: service, Version: version}
 }
 
 // resumePoint returns the service and the software version at which a stream goes on that
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -100,11 +100,12 @@
 	failing       atomic.Bool              // the last list or watch failed
 	saver         *saver
 	versions      *versions
+	origins       *origins
 }
 
 // New returns a feed that does nothing until Run or Register is called.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, rejected: map[string]string{}, saver: newSaver(), versions: newVersions(cfg.FirstStart)}
+	return &Feed{cfg: cfg, nodesByKey: map[string]*wire.Member{}, heldRemovals: map[string]fleet.Version{}, rejected: map[string]string{}, saver: newSaver(), versions: newVersions(cfg.FirstStart), origins: newOrigins()}
 }
 
 // Failing reports whether this node's last list or watch of the store failed. A
@@ -299,6 +300,9 @@
 			}
 			continue
 		}
+		if strings.HasPrefix(e.Key, originPrefix) {
+			continue // read when a caller takes up a stream that no node knows
+		}
 		if strings.HasPrefix(e.Key, versionPrefix) {
 			versions.records = append(versions.records, e)
 			learned.Items = append(learned.Items, versionsItem(e, r.Era))
--- a/feed/version.go
+++ b/feed/version.go
@@ -197,17 +197,27 @@
 	return nil
 }
 
-// SoleOrigin returns the service and the software version that have begun all streams which may still
-// run, and whether the store says that there is only one of each.
-func (f *Feed) SoleOrigin(ctx context.Context) (service, version string, sole bool) {
+// StoredOrigin returns the service and the software version that began the stream of a request, and
+// whether the store tells it: its records of versions name only one that can have begun any stream, or it
+// holds the origin of this one.
+func (f *Feed) StoredOrigin(ctx context.Context, request string) (service, version string, known bool) {
 	r, err := f.cfg.Store.List(ctx, versionPrefix, 0)
 	if err == nil {
 		service, version, err = soleOrigin(time.Now(), r)
 	}
-	if err != nil {
-		f.cfg.Daemon.Record(trace.Entry{Kind: "version-unknown", Detail: err.Error()})
+	if err == nil {
+		return service, version, true
+	}
+	o, found, readErr := f.origins.find(ctx, time.Now(), f.cfg.Store, request)
+	if found {
+		return o.Service, o.Version, true
+	}
+	detail := err.Error() + "; the origin of this stream is not saved"
+	if readErr != nil {
+		detail = err.Error() + "; " + readErr.Error()
 	}
-	return service, version, err == nil
+	f.cfg.Daemon.Record(trace.Entry{Kind: "version-unknown", Detail: detail})
+	return "", "", false
 }
 
 // OriginError says why the records of versions do not name the origin of a stream.
--- a/fleet/recorded.go
+++ b/fleet/recorded.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/wire"
@@ -46,6 +47,24 @@
 	return slices.Contains(v.recorded[e.Service], e.Version)
 }
 
+// SoleOrigin is SoleOrigin for the records of versions that this node knows.
+func (v *View) SoleOrigin(now time.Time) bool {
+	records := map[string]VersionRecord{}
+	for service := range v.recorded {
+		r, ok := v.records.get(versionsPrefix + service)
+		if !ok || r.item.GetRemoved() {
+			continue
+		}
+		record, err := DecodeVersionRecord(r.item.GetBody())
+		if err != nil {
+			return false
+		}
+		records[service] = record
+	}
+	_, _, sole := SoleOrigin(now, v.Era(), records)
+	return sole
+}
+
 // MissesRecord reports whether this node lists an endpoint of a service whose streams a caller may take
 // up again, which is not leaving, and knows no record that names its version.
 func (v *View) MissesRecord() bool {
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -101,6 +101,14 @@
 	Quarantine *wire.Quarantine // nil to remove it
 }
 
+// SaveOrigin tells the driver which software began a stream that its caller may take up again, so that
+// the driver can write it to the platform's store, where it outlasts all nodes.
+type SaveOrigin struct {
+	Request string // id of the request that brought the first event
+	Service string
+	Version string
+}
+
 // Record adds an entry to the node's trace.
 type Record struct {
 	Kind      string // short name of what happened, such as "grant"
@@ -120,5 +128,6 @@
 func (NotifyLeaving) isEffect()    {}
 func (OriginFound) isEffect()      {}
 func (SaveQuarantine) isEffect()   {}
+func (SaveOrigin) isEffect()       {}
 func (NotifyQuarantine) isEffect() {}
 func (Record) isEffect()           {}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -258,3 +258,36 @@
 	qt.Assert(t, origin.Of(n.State(1)).Len(), qt.Equals, streams)
 	qt.Assert(t, origin.Of(n.State(2)).Len(), qt.Equals, streams)
 }
+
+// TestEachStreamIsSavedOnce checks that one node saves the origin of each stream, and that few nodes do.
+func TestEachStreamIsSavedOnce(t *testing.T) {
+	for _, nodes := range []int{1, 4, 27, 77} {
+		saved := map[string]int{}
+		savers := map[int]bool{}
+		net := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(node int, _ time.Time, f kernel.Effect) []kernel.Event {
+			if o, ok := f.(kernel.SaveOrigin); ok {
+				saved[o.Request+" "+o.Service+" "+o.Version]++
+				savers[node] = true
+			}
+			return nil
+		}})
+		joined := net.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
+			for i := range nodes {
+				if len(member.Of(net.State(i)).Owners()) != nodes {
+					return false
+				}
+			}
+			return true
+		})
+		qt.Assert(t, joined, qt.IsTrue)
+		net.Run(settleTime)
+		for i := range 40 {
+			net.Step(i%nodes, kernel.StreamBegan{Request: fmt.Sprint("r", i), Service: "model", Version: "v1"})
+		}
+		net.Run(time.Second)
+		for i := range 40 {
+			qt.Assert(t, saved[fmt.Sprint("r", i, " model v1")], qt.Equals, 1, qt.Commentf("%d nodes", nodes))
+		}
+		qt.Assert(t, len(savers) <= 1+nodes/64, qt.IsTrue, qt.Commentf("%d of %d nodes save", len(savers), nodes))
+	}
+}
