--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,14 +2,27 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
+	"github.com/plantaindeck/plantaindeck/wait"
 )
 
+const (
+	successorTime     = 10 * time.Second       // from a crash until the next process of the endpoint is listed, at most
+	successorInterval = 100 * time.Millisecond // between two looks at the list
+)
+
+// incarnation identifies a process of an endpoint.
+type incarnation struct {
+	id          string
+	startMillis int64 // 0 if unknown
+}
+
 // crashCheck finds out whether an endpoint whose connections broke has crashed.
 type crashCheck struct {
 	endpoint fleet.Endpoint
@@ -35,23 +48,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c, running := s.crashChecks[e.ID]; running {
+	key := incarnation{e.ID, e.StartMillis}
+	if c, running := s.crashChecks[key]; running {
 		c.lost = append(c.lost, rr)
 		return
 	}
 	if s.closed {
 		return
 	}
-	s.crashChecks[e.ID] = &crashCheck{endpoint: e, lost: []*routedRequest{rr}}
+	s.crashChecks[key] = &crashCheck{endpoint: e, lost: []*routedRequest{rr}}
 	s.tasks.Go(func() { s.runCrashCheck(context.WithoutCancel(ctx), e) })
 }
 
-// runCrashCheck reports an endpoint as crashed if nothing listens at its address any more.
+// runCrashCheck reports an endpoint as crashed if nothing listens at its address any more, or if it cannot be
+// reached and its next process is listed soon after.
 func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
-	ended := s.cfg.Relay.HasEndedIf(ctx, e.Addr, func() bool { return s.takeCrashCheck(time.Now(), e) })
+	ended, unreached := s.cfg.Relay.HasEndedIf(ctx, e.Addr, func() bool { return s.takeCrashCheck(time.Now(), e) })
+	if !ended && unreached {
+		ended = s.awaitSuccessor(e)
+	}
+	key := incarnation{e.ID, e.StartMillis}
 	s.mu.Lock()
-	c := s.crashChecks[e.ID]
-	delete(s.crashChecks, e.ID)
+	c := s.crashChecks[key]
+	delete(s.crashChecks, key)
 	s.mu.Unlock()
 	if !ended {
 		return
@@ -64,3 +83,33 @@
 	}
 	s.cfg.Daemon.Post(ctx, report)
 }
+
+// awaitSuccessor reports whether another process of an endpoint that could not be reached is listed within
+// successorTime. Load pattern: a request that is tried again crashes all endpoints of a small service, so that
+// no node reaches any and each counts as cut off itself.
+func (s *Server) awaitSuccessor(e fleet.Endpoint) bool {
+	for end := time.Now().Add(successorTime); time.Now().Before(end) && wait.For(s.ended, successorInterval); {
+		view := s.view()
+		if now, listed := view.Endpoint(e.ID); listed && now.Leaving && now.StartMillis == e.StartMillis {
+			return false
+		}
+		if hasSuccessor(view, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSuccessor reports whether a later process than that of an endpoint is listed under its id, or for its
+// service at its address.
+func hasSuccessor(view *fleet.View, e fleet.Endpoint) bool {
+	if e.StartMillis == 0 {
+		return false
+	}
+	if now, listed := view.Endpoint(e.ID); listed && now.StartMillis > e.StartMillis {
+		return true
+	}
+	return slices.ContainsFunc(view.EndpointsAt(e.Addr), func(o fleet.Endpoint) bool {
+		return o.Service == e.Service && o.StartMillis > e.StartMillis
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -198,7 +198,7 @@
 	retryBurstFrom time.Time                                  // from when on they use the burst
 	generations    map[*generation]bool                       // those in flight
 	placements     *placements                                // in and for other load groups
-	crashChecks    map[string]*crashCheck                     // those that run, by endpoint
+	crashChecks    map[incarnation]*crashCheck                // those that run
 	withoutOutput  map[*routedRequest]context.CancelCauseFunc // requests in flight that have had no output; the function ends the request
 	tasks          sync.WaitGroup                             // probes and evacuations in the background
 	closed         bool                                       // no more tasks are started
@@ -223,7 +223,7 @@
 		retryLimiters: map[string]*retry.Limiter{},
 		generations:   map[*generation]bool{},
 		placements:    newPlacements(cfg.Daemon.SendTo),
-		crashChecks:   map[string]*crashCheck{},
+		crashChecks:   map[incarnation]*crashCheck{},
 		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 
 		unrecordedSince: map[string]time.Time{},
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -49,8 +49,8 @@
 	minRestart     = time.Second            // between two crashes of an endpoint of which it is not known when its process started
 	maxCrashes     = 64                     // that are evidence; older ones are dropped
 	maxRequests    = 64                     // of one crash
-	maxTraits      = 32                     // of one request that ran beside many others
-	maxCrashTraits = 128                    // of one crash, divided among its requests if that is more than maxTraits for each
+	maxTraits      = 64                     // of one request that ran beside many others
+	maxCrashTraits = 1 << 12                // of one crash, divided among its requests if that is more than maxTraits for each; requests with the most parts that the limits of callers allow have about 1,700
 	maxEstablished = 1 << 14                // traits that had output in one establishedTTL
 )
 
@@ -108,9 +108,27 @@
 	service     string
 	startMillis int64 // start of the process; 0 if unknown
 	at          time.Time
-	outputs     int        // requests of the service that had had output at this node before
-	requests    [][]uint64 // suspected traits of each request
-	own         []uint64   // of each request, the trait that it shares only with its retries; 0 or missing if unknown
+	outputs     int                 // requests of the service that had had output at this node before
+	requests    [][]uint64          // suspected traits of each request
+	own         []uint64            // of each request, the trait that it shares only with its retries; 0 or missing if unknown
+	named       map[uint64]struct{} // all of these suspected traits
+}
+
+// withNamed returns the crash with the index of its traits.
+func (c crash) withNamed() crash {
+	c.named = map[uint64]struct{}{}
+	for _, r := range c.requests {
+		for _, t := range r {
+			c.named[t] = struct{}{}
+		}
+	}
+	return c
+}
+
+// names reports whether a request that ran there has a trait that is suspected.
+func (c crash) names(t uint64) bool {
+	_, ok := c.named[t]
+	return ok
 }
 
 // ownTrait returns the trait that request i shares only with its retries, or 0 if it is unknown.
@@ -237,12 +255,13 @@
 const ownTraits = 2
 
 // mostSuspect returns the requests of a crash with the traits first that are kept if there are more than
-// maxTraits: those of the request itself, those that are suspected of earlier crashes, those that are not
+// traitLimit: those of the request itself, those that are suspected of earlier crashes, those that are not
 // established, and the established ones. Load pattern: the trait that crashes endpoints follows dozens of
 // others, which sound requests share.
 func (v *View) mostSuspect(requests [][]uint64) [][]uint64 {
 	list := slices.Clone(requests[:min(len(requests), maxRequests)])
-	if !slices.ContainsFunc(list, func(traits []uint64) bool { return len(traits) > maxTraits }) {
+	limit := traitLimit(len(list))
+	if !slices.ContainsFunc(list, func(traits []uint64) bool { return len(traits) > limit }) {
 		return list
 	}
 	suspects := v.allSuspects() // looked up in a map, as requests may have thousands of traits
@@ -256,7 +275,7 @@
 		return 1
 	}
 	for i, traits := range list {
-		if len(traits) <= maxTraits {
+		if len(traits) <= limit {
 			continue
 		}
 		ranks := map[uint64]int{}
@@ -274,15 +293,18 @@
 // nothing tells which of the parts are sound.
 func truncated(c crash) crash {
 	kept := c.requests[:min(len(c.requests), maxRequests)]
-	limit := max(maxTraits, maxCrashTraits/max(len(kept), 1))
+	limit := traitLimit(len(kept))
 	var list [][]uint64
 	for _, traits := range kept {
 		list = append(list, traits[:min(len(traits), limit)])
 	}
 	c.requests = list
-	return c
+	return c.withNamed()
 }
 
+// traitLimit returns how many traits of each request of a crash are kept if n requests ran there.
+func traitLimit(n int) int { return max(maxTraits, maxCrashTraits/max(n, 1)) }
+
 // addCrash adds what one node reports of a crash. Requests whose quarantine has ended and that
 // have just been on an endpoint that crashed are quarantined again at once.
 func (v *View) addCrash(now time.Time, m *member.View, report crash) (*View, []kernel.Effect) {
@@ -354,12 +376,19 @@
 	}
 	next := *v
 	next.crashes = nil
+	isCleared := map[uint64]bool{}
+	for _, t := range cleared {
+		isCleared[t] = true
+	}
 	for _, c := range v.crashes {
-		var requests [][]uint64
-		for _, r := range c.requests {
-			requests = append(requests, slices.DeleteFunc(slices.Clone(r), func(t uint64) bool { return slices.Contains(cleared, t) }))
+		if slices.ContainsFunc(cleared, c.names) {
+			var requests [][]uint64
+			for _, r := range c.requests {
+				requests = append(requests, slices.DeleteFunc(slices.Clone(r), func(t uint64) bool { return isCleared[t] }))
+			}
+			c.requests = requests
+			c = c.withNamed()
 		}
-		c.requests = requests
 		next.crashes = append(next.crashes, c)
 	}
 	var effects []kernel.Effect
@@ -389,9 +418,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(v.crashes, func(c crash) bool {
-		return slices.ContainsFunc(c.requests, func(r []uint64) bool { return slices.Contains(r, t) })
-	})
+	return slices.ContainsFunc(v.crashes, func(c crash) bool { return c.names(t) })
 }
 
 // allSuspects returns the traits for which suspects reports true.
@@ -403,7 +430,7 @@
 		}
 	}
 	for _, c := range v.crashes {
-		for _, t := range slices.Concat(c.requests...) {
+		for t := range c.named {
 			all[t] = true
 		}
 	}
@@ -416,7 +443,7 @@
 	return len(v.crashes) >= minHeld && slices.ContainsFunc(traits, func(t uint64) bool {
 		n := 0
 		for _, c := range v.crashes {
-			if slices.ContainsFunc(c.requests, func(r []uint64) bool { return slices.Contains(r, t) }) {
+			if c.names(t) {
 				n++
 			}
 		}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -301,27 +301,38 @@
 }
 
 // TestHarmfulTraitBehindManyOthers guards against a trait that is no evidence, however many endpoints
-// crash, as requests have more traits than a report holds.
+// crash, as requests have more traits than a report holds, alone or beside sound requests that have had no
+// output yet; and against sound requests that are quarantined for the others.
 func TestHarmfulTraitBehindManyOthers(t *testing.T) {
-	for _, others := range []int{3, 40, 1000} {
-		for _, output := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%d others, with output %t", others, output), func(t *testing.T) {
-				n := newNetwork(t, 4)
-				var shared []uint64
-				for i := range others {
-					shared = append(shared, uint64(1000+i))
-				}
-				for i := range 4 {
-					if output {
-						n.Step(i, kernel.OutputSeen{Service: "model", Traits: shared})
-					}
-					n.crash(i, slices.Concat([]uint64{uint64(10 + i), uint64(20 + i)}, shared, []uint64{bad}))
-				}
-				qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, shared, []uint64{bad})...), qt.Equals, 4)
-				if output || others < 100 {
-					qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, shared)...), qt.Equals, 0)
+	for _, others := range []int{3, 40, 400, 1600} {
+		for _, beside := range []int{0, 1, 7} {
+			if others*(beside+1) > 4096 { // more than a report holds
+				continue
+			}
+			for _, output := range []bool{true, false} {
+				for place, at := range map[string]int{"first": 0, "in the middle": others / 2, "last but one": others} {
+					t.Run(fmt.Sprintf("%s of %d others, beside %d requests, with output %t", place, others, beside, output), func(t *testing.T) {
+						n := newNetwork(t, 4)
+						var shared []uint64
+						for i := range others {
+							shared = append(shared, uint64(1000+i))
+						}
+						harmful := slices.Insert(slices.Clone(shared), at, bad)
+						for i := range 4 {
+							if output {
+								n.Step(i, kernel.OutputSeen{Service: "model", Traits: shared})
+							}
+							var requests [][]uint64
+							for k := range beside {
+								requests = append(requests, slices.Concat([]uint64{uint64(100 + 10*i + k), uint64(500 + 10*i + k)}, shared))
+							}
+							n.crash(i, append(requests, slices.Concat([]uint64{uint64(10 + i), uint64(20 + i)}, harmful))...)
+						}
+						qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, harmful)...), qt.Equals, 4)
+						qt.Assert(t, n.quarantined(slices.Concat([]uint64{98, 99}, shared)...), qt.Equals, 0)
+					})
 				}
-			})
+			}
 		}
 	}
 }
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -59,27 +59,28 @@
 // HasEnded reports whether the process at an address has ended, after a connection to it broke:
 // nothing listens there any more.
 func (c *Client) HasEnded(ctx context.Context, addr string) bool {
-	return c.HasEndedIf(ctx, addr, func() bool { return true })
+	ended, _ := c.HasEndedIf(ctx, addr, func() bool { return true })
+	return ended
 }
 
 // HasEndedIf is HasEnded for an endpoint that takes few connections: each one is made only if
-// allowed returns true.
-func (c *Client) HasEndedIf(ctx context.Context, addr string, allowed func() bool) bool {
+// allowed returns true. It also reports whether the last connection failed, so that the process may have
+// ended even if ended is false.
+func (c *Client) HasEndedIf(ctx context.Context, addr string, allowed func() bool) (ended, unreached bool) {
 	for range endChecks {
 		if !wait.For(ctx, endCheckDelay) {
-			return false
+			return false, unreached
 		}
-		if allowed() && c.isClosed(ctx, addr) {
-			return true
+		if !allowed() {
+			continue
 		}
+		_, err := c.connect(ctx, addr, 0)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true, true
+		}
+		unreached = err != nil
 	}
-	return false
-}
-
-// isClosed reports whether nothing listens at an address.
-func (c *Client) isClosed(ctx context.Context, addr string) bool {
-	_, err := c.connect(ctx, addr, 0)
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false, unreached
 }
 
 // connect connects to an address and keeps the connection for a time. It reports false if the
