--- a/entry/crash.go
+++ b/entry/crash.go
@@ -15,6 +15,7 @@
 const (
 	successorTime     = 10 * time.Second       // from a crash until the next process of the endpoint is listed, at most
 	successorInterval = 100 * time.Millisecond // between two looks at the list
+	maxLost           = 64                     // requests that one check reports
 )
 
 // incarnation identifies a process of an endpoint.
@@ -26,7 +27,20 @@
 // crashCheck finds out whether an endpoint whose connections broke has crashed.
 type crashCheck struct {
 	endpoint fleet.Endpoint
-	lost     []*routedRequest // of this node, which ran there and are not known to be sound
+	lost     []lostRequest // of this node, which ran there and are not known to be sound
+}
+
+// lostRequest is what a crash check keeps of a request, without its body.
+type lostRequest struct {
+	req    Request
+	traits []uint64
+	own    uint64
+}
+
+func newLostRequest(rr *routedRequest) lostRequest {
+	l := lostRequest{req: *rr.req, traits: rr.traits, own: rr.ownTrait()}
+	l.req.Body, l.req.Header = nil, nil
+	return l
 }
 
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
@@ -50,13 +64,15 @@
 	defer s.mu.Unlock()
 	key := incarnation{e.ID, e.StartMillis}
 	if c, running := s.crashChecks[key]; running {
-		c.lost = append(c.lost, rr)
+		if len(c.lost) < maxLost {
+			c.lost = append(c.lost, newLostRequest(rr))
+		}
 		return
 	}
 	if s.closed {
 		return
 	}
-	s.crashChecks[key] = &crashCheck{endpoint: e, lost: []*routedRequest{rr}}
+	s.crashChecks[key] = &crashCheck{endpoint: e, lost: []lostRequest{newLostRequest(rr)}}
 	s.tasks.Go(func() { s.runCrashCheck(context.WithoutCancel(ctx), e) })
 }
 
@@ -77,9 +93,9 @@
 	}
 	s.metrics.crashes.Inc()
 	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
-	for _, rr := range c.lost {
-		report.Requests, report.Own = append(report.Requests, rr.traits), append(report.Own, rr.ownTrait())
-		s.record("crash", rr.req, e.ID, "the endpoint has crashed while it ran the request or began to answer it; traits: "+rr.describeHashes())
+	for _, l := range c.lost {
+		report.Requests, report.Own = append(report.Requests, l.traits), append(report.Own, l.own)
+		s.record("crash", &l.req, e.ID, "the endpoint has crashed while it ran the request or began to answer it; traits: "+describeHashes(l.req.PromptParts, l.traits))
 	}
 	s.cfg.Daemon.Post(ctx, report)
 }
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -44,15 +44,15 @@
 	return text
 }
 
-// describeHashes describes the traits of a request for the log with their hashes, by which the
-// kernel names them.
-func (rr *routedRequest) describeHashes() string {
+// describeHashes describes the traits of a request with the given parts of its prompt for the log, with
+// their hashes, by which the kernel names them.
+func describeHashes(parts []string, traits []uint64) string {
 	names := []string{"the request itself", "the request with its prompt"}
-	for _, part := range rr.req.PromptParts {
+	for _, part := range parts {
 		names = append(names, "part "+part)
 	}
 	var list []string
-	for i, t := range rr.traits {
+	for i, t := range traits {
 		list = append(list, fmt.Sprintf("%s %016x", names[i], t))
 	}
 	return strings.Join(list, ", ")
--- a/entry/poison_test.go
+++ b/entry/poison_test.go
@@ -28,7 +28,7 @@
 func TestTraitsAreNamed(t *testing.T) {
 	rr := &routedRequest{req: &Request{PromptParts: []string{"p", "q", "r"}}}
 	rr.traits = traitsOf(rr)
-	text := rr.describeHashes()
+	text := describeHashes(rr.req.PromptParts, rr.traits)
 	qt.Assert(t, strings.Count(text, ", "), qt.Equals, len(rr.traits)-1)
 	qt.Assert(t, strings.HasSuffix(text, fmt.Sprintf("part q %016x", rr.traits[3])), qt.IsTrue, qt.Commentf("%s", text))
 	qt.Assert(t, text, qt.Not(qt.Contains), "part r")
--- a/feed/origin.go
+++ b/feed/origin.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	originPrefix       = "plantaindeck/origins/" // before the node that wrote an entry and its window
+	originPrefix       = "plantaindeck/origins/" // before the process that wrote an entry and its window
 	originSaveInterval = time.Second             // between two writes of this node
 	originWindow       = 5 * time.Second         // in which the streams of one entry began
 	originMemory       = time.Minute             // for which a stream may run
@@ -159,11 +159,17 @@
 			f.cfg.Daemon.Record(trace.Entry{Kind: "save-failed", Detail: err.Error()})
 			continue
 		}
-		writes = append(writes, store.Write{Key: fmt.Sprintf("%s%s/%d", originPrefix, f.cfg.Self.GetId(), w), Value: value, Lease: lease})
+		writes = append(writes, store.Write{Key: f.originKey(w), Value: value, Lease: lease})
 	}
 	return writes, taken
 }
 
+// originKey returns the key of the entry of a window. It names the process, as one that starts again does not
+// know what the former one wrote in the same window.
+func (f *Feed) originKey(window int64) string {
+	return fmt.Sprintf("%s%s/%x/%d", originPrefix, f.cfg.Self.GetId(), f.cfg.Self.GetIncarnation(), window)
+}
+
 // entry returns the entry of a window.
 func (l *originLog) entry(window int64) originEntry {
 	var e originEntry
