--- a/feed/origin.go
+++ b/feed/origin.go
@@ -50,11 +50,12 @@
 // originLog holds the streams of the last originMemory that fall to this node, by window, in memory. It
 // has no lock of its own.
 type originLog struct {
-	windows map[int64]map[software][]string // digests of requests
-	unsaved map[int64]bool
-	lease   int64 // under which entries are written; 0 for none
-	era     int64 // of the lease
-	granted time.Time
+	startedAt time.Time                       // of the first window; zero before
+	windows   map[int64]map[software][]string // digests of requests
+	unsaved   map[int64]bool
+	lease     int64 // under which entries are written; 0 for none
+	era       int64 // of the lease
+	granted   time.Time
 }
 
 // origins keeps the origins of streams in the store. Load pattern: while servers of several versions serve,
@@ -74,14 +75,21 @@
 	return &origins{log: originLog{windows: map[int64]map[software][]string{}, unsaved: map[int64]bool{}}}
 }
 
-func windowOf(now time.Time) int64 { return now.UnixMilli() / originWindow.Milliseconds() }
+// windowOf returns the window of a time, counted from the first one that the log was asked for.
+func (l *originLog) windowOf(now time.Time) int64 {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+	return int64(now.Sub(l.startedAt) / originWindow)
+}
 
 // SaveOrigin writes the origin of a stream to the store with the next ones, if the records of versions do
 // not tell it. It returns at once.
 func (f *Feed) SaveOrigin(now time.Time, o kernel.SaveOrigin) {
 	f.origins.mu.Lock()
 	defer f.origins.mu.Unlock()
-	l, w := &f.origins.log, windowOf(now)
+	l := &f.origins.log
+	w := l.windowOf(now)
 	if l.windows[w] == nil {
 		l.windows[w] = map[software][]string{}
 	}
@@ -185,7 +193,7 @@
 
 // forget drops the windows whose streams have ended.
 func (l *originLog) forget(now time.Time) {
-	oldest := windowOf(now.Add(-originMemory))
+	oldest := l.windowOf(now) - int64(originMemory/originWindow)
 	maps.DeleteFunc(l.windows, func(w int64, _ map[software][]string) bool { return w < oldest })
 	maps.DeleteFunc(l.unsaved, func(w int64, _ bool) bool { return w < oldest })
 }
