--- a/feed/version.go
+++ b/feed/version.go
@@ -210,7 +210,7 @@
 	}
 	o, found, readErr := f.origins.find(ctx, time.Now(), f.cfg.Store, request)
 	if found {
-		return o.Service, o.Version, true
+		return o.service, o.version, true
 	}
 	detail := err.Error() + "; the origin of this stream is not saved"
 	if readErr != nil {
--- a/member/member.go
+++ b/member/member.go
@@ -206,6 +206,14 @@
 	return list
 }
 
+// Incarnation returns the incarnation of a member, or 0 if it is not known.
+func (v *View) Incarnation(id string) uint64 {
+	if id == v.self.GetId() {
+		return v.self.GetIncarnation()
+	}
+	return v.peers[id].Member.GetIncarnation()
+}
+
 // Serving returns the members to which callers may be sent: those that are alive
 // and have an address for callers, sorted by id.
 func (v *View) Serving() []*wire.Member {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -17,19 +17,17 @@
 //   - Each OriginAsked leads to one OriginFound, after joinAskTTL at the latest.
 //   - What a node begins or asks before it has joined is told or asked again as it learns of
 //     other nodes.
-//   - One node, the recorder, is told of each stream too. It holds no record of it, and asks its driver
-//     to save one where it outlasts all nodes. What a recorder is told as it ends may be lost.
+//   - One node, the writer, is told of each stream too. It holds no record of it, and asks its driver
+//     to save one where it outlasts all nodes. Its successor is told of all streams that are still remembered.
 package origin
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/benbjohnson/immutable"
-	"github.com/cespare/xxhash/v2"
 	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/member"
 	"github.com/plantaindeck/plantaindeck/owner"
@@ -43,9 +41,6 @@
 	askTTL     = 200 * time.Millisecond // for which the answers to a question are awaited
 	joinTime   = 3 * time.Second        // after the start of a node in which it may not know all members yet
 	joinAskTTL = time.Second            // askTTL of a node in this time
-
-	nodesPerRecorder = 64      // streams of that many nodes are saved by one of them
-	saveAsk          = "save " // before the request in the id of an answer that tells the recorder of a stream, which has asked nothing
 )
 
 var handle kernel.Handle[*View]
@@ -94,6 +89,7 @@
 	owners    int            // members that may be holders, at the last Tick; while stopping without this node
 	stopping  bool
 	transfers map[string]transfer // by request: records that are not handed over; nil unless stopping
+	writers   []writer            // at the last Tick
 }
 
 // joined reports whether this node has run for joinTime.
@@ -153,25 +149,10 @@
 	return next.withTransfer(b.GetRequest(), r)
 }
 
-// tell returns the effects that tell the holders and the recorder of a stream.
+// tell returns the effects that tell the holders and the writer of a stream.
 func tell(m *member.View, b *wire.Began) []kernel.Effect {
 	effects := m.SendTo(owner.Top(b.GetRequest(), holders, m.Owners()), &wire.Frame{Body: &wire.Frame_Began{Began: b}})
-	if r := recorder(m, b.GetRequest()); r != m.Self().GetId() && r != "" {
-		record := &wire.Found{Ask: saveAsk + b.GetRequest(), Known: true, Service: b.GetService(), Version: b.GetVersion()}
-		return append(effects, kernel.Send{To: r, Frame: &wire.Frame{Body: &wire.Frame_Found{Found: record}}})
-	}
-	return append(effects, kernel.SaveOrigin{Request: b.GetRequest(), Service: b.GetService(), Version: b.GetVersion()})
-}
-
-// recorder returns the node that saves the record of a stream; empty for none. Load pattern: each write
-// to the store ends the watches of all that read it, so few nodes write for all.
-func recorder(m *member.View, request string) string {
-	owners := m.Owners()
-	shard := xxhash.Sum64String(request) % uint64(1+len(owners)/nodesPerRecorder)
-	if top := owner.Top(fmt.Sprintf("recorder %d", shard), 1, owners); len(top) > 0 {
-		return top[0]
-	}
-	return ""
+	return append(effects, save(m, writers(m), b.GetRequest(), record{service: b.GetService(), version: b.GetVersion()}))
 }
 
 // begin records a stream of this node and tells its holders.
@@ -251,6 +232,7 @@
 	if len(v.asks) > 0 {
 		next.asks = maps.Clone(v.asks)
 	}
+	effects = append(effects, next.tellWriters(m)...)
 	transfers, sends := next.sendTransfers(now, m)
 	next.transfers, effects = transfers, append(effects, sends...)
 	for _, id := range slices.Sorted(maps.Keys(v.asks)) {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -26,13 +26,17 @@
 type network struct {
 	*simnet.Network
 	found map[string]kernel.OriginFound // by id of the question
+	saved map[string][]int              // nodes that saved the origin of a stream, by its request, service and version
 }
 
 func newNetwork(t *testing.T, nodes int) *network {
-	n := &network{found: map[string]kernel.OriginFound{}}
-	n.Network = simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(_ int, _ time.Time, f kernel.Effect) []kernel.Event {
-		if found, ok := f.(kernel.OriginFound); ok {
-			n.found[found.Ask] = found
+	n := &network{found: map[string]kernel.OriginFound{}, saved: map[string][]int{}}
+	n.Network = simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(node int, _ time.Time, f kernel.Effect) []kernel.Event {
+		switch f := f.(type) {
+		case kernel.OriginFound:
+			n.found[f.Ask] = f
+		case kernel.SaveOrigin:
+			n.saved[f.Request+" "+f.Service+" "+f.Version] = append(n.saved[f.Request+" "+f.Service+" "+f.Version], node)
 		}
 		return nil
 	}})
@@ -259,35 +263,46 @@
 	qt.Assert(t, origin.Of(n.State(2)).Len(), qt.Equals, streams)
 }
 
-// TestEachStreamIsSavedOnce checks that one node saves the origin of each stream, and that few nodes do.
-func TestEachStreamIsSavedOnce(t *testing.T) {
+// TestOneNodeSavesStreams checks that few nodes save the origins of streams, each once, and that another one
+// saves them if a writer ends, or starts again before it has saved them.
+func TestOneNodeSavesStreams(t *testing.T) {
+	const streams = 40
 	for _, nodes := range []int{1, 4, 27, 77} {
-		saved := map[string]int{}
-		savers := map[int]bool{}
-		net := simnet.New(simnet.Config{Nodes: nodes, Centres: 3, Seed: 5, MinDelay: time.Millisecond, Jitter: 2 * time.Millisecond, OnEffect: func(node int, _ time.Time, f kernel.Effect) []kernel.Event {
-			if o, ok := f.(kernel.SaveOrigin); ok {
-				saved[o.Request+" "+o.Service+" "+o.Version]++
-				savers[node] = true
-			}
-			return nil
-		}})
-		joined := net.RunUntil(joinTimeout, 100*time.Millisecond, func() bool {
-			for i := range nodes {
-				if len(member.Of(net.State(i)).Owners()) != nodes {
+		n := newNetwork(t, nodes)
+		allSaved := func() bool {
+			for i := range streams {
+				if len(n.saved[fmt.Sprintf("r%d model v-r%d", i, i)]) == 0 {
 					return false
 				}
 			}
 			return true
-		})
-		qt.Assert(t, joined, qt.IsTrue)
-		net.Run(settleTime)
-		for i := range 40 {
-			net.Step(i%nodes, kernel.StreamBegan{Request: fmt.Sprint("r", i), Service: "model", Version: "v1"})
 		}
-		net.Run(time.Second)
-		for i := range 40 {
-			qt.Assert(t, saved[fmt.Sprint("r", i, " model v1")], qt.Equals, 1, qt.Commentf("%d nodes", nodes))
+		for i := range streams {
+			n.begin(i%nodes, fmt.Sprint("r", i))
+		}
+		n.Run(time.Second)
+		qt.Assert(t, allSaved(), qt.IsTrue)
+		former := map[int]bool{}
+		for _, by := range n.saved {
+			qt.Assert(t, by, qt.HasLen, 1)
+			former[by[0]] = true
+		}
+		qt.Assert(t, len(former) <= 1+nodes/64, qt.IsTrue, qt.Commentf("%d of %d nodes save", len(former), nodes))
+		if nodes == 1 {
+			continue
+		}
+		for _, restart := range []bool{false, true} {
+			clear(n.saved)
+			for node := range former {
+				if n.Kill(node); restart {
+					n.Restart(node)
+				}
+			}
+			qt.Assert(t, n.RunUntil(joinTimeout, time.Second, allSaved), qt.IsTrue, qt.Commentf("%d nodes, restart %t", nodes, restart))
+			clear(former)
+			for _, by := range n.saved {
+				former[by[0]] = true
+			}
 		}
-		qt.Assert(t, len(savers) <= 1+nodes/64, qt.IsTrue, qt.Commentf("%d of %d nodes save", len(savers), nodes))
 	}
 }
