--- a/carry/dial.go
+++ b/carry/dial.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -21,8 +20,7 @@
 	defaultDialTimeout = 2 * time.Second        // if the target states none
 	maxAsked           = 6                      // nodes asked for one connection; those that are cut off answer at once
 	maxHedges          = 2                      // further ways tried before the earlier ones have failed
-	maxVerified        = 3                      // endpoints tried before a node counts as isolated; each may have crashed as well
-	verifyTimeout      = 100 * time.Millisecond // of each of them
+	verifyTimeout      = 100 * time.Millisecond // of a connection that shows whether a node is isolated
 )
 
 // DialError says why an endpoint could not be reached. Nothing was sent to it.
@@ -176,18 +174,15 @@
 
 // verifyIsolation connects to endpoints that an isolated node has not lost, until it reaches one.
 func (c *Carrier) verifyIsolation(ctx context.Context, now time.Time) {
-	c.mu.Lock()
-	due := c.paths.mustVerify(now)
-	c.mu.Unlock()
-	if !due || c.cfg.Endpoints == nil {
+	if c.cfg.Endpoints == nil {
 		return
 	}
 	addrs := c.cfg.Endpoints()
 	c.mu.Lock()
-	addrs = slices.DeleteFunc(addrs, func(addr string) bool { return c.paths.lost[addr] })
 	c.rand.Shuffle(len(addrs), func(i, k int) { addrs[i], addrs[k] = addrs[k], addrs[i] })
+	addrs = c.paths.verify(now, addrs)
 	c.mu.Unlock()
-	for _, addr := range addrs[:min(len(addrs), maxVerified)] {
+	for _, addr := range addrs {
 		conn, err := c.cfg.Dial(ctx, relay.Target{Addr: addr, Timeout: verifyTimeout, Started: true})
 		if ctx.Err() != nil {
 			return
--- a/carry/paths.go
+++ b/carry/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 	minPathBackoff = 500 * time.Millisecond // until a path that was lost is tried again; doubles with each failure
 	maxPathBackoff = 4 * time.Second
 	pathTTL        = time.Minute            // after its next try was due, until a path that nothing has used is forgotten
+	maxVerified    = 3                      // addresses that an isolated node tries; endpoints there may have crashed as well
 	testInterval   = 500 * time.Millisecond // between two connections that a node tries itself while other nodes reach what it does not
 )
 
@@ -81,15 +83,17 @@
 	p.bypassed, p.testAt, p.verifyAt = false, time.Time{}, time.Time{}
 }
 
-// mustVerify reports whether the node is isolated and has not verified that lately. Load pattern: several
-// endpoints crash one after the other under requests that are alike, while the node opens no other
-// connections. Until it reaches an endpoint, it cannot tell these crashes from a cut of its own paths.
-func (p *paths) mustVerify(now time.Time) bool {
+// verify returns the first of the addresses that an isolated node has not lost, to which it connects to find
+// out whether it is cut off; none if it has done so lately. Load pattern: several endpoints crash one after the
+// other under requests that are alike, while the node opens no other connections. Until it reaches an endpoint,
+// it cannot tell these crashes from a cut of its own paths.
+func (p *paths) verify(now time.Time, addrs []string) []string {
 	if !p.isolated() || now.Before(p.verifyAt) {
-		return false
+		return nil
 	}
 	p.verifyAt = now.Add(testInterval)
-	return true
+	addrs = slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool { return p.lost[addr] })
+	return addrs[:min(len(addrs), maxVerified)]
 }
 
 // failed notes that the node could not reach an address itself.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -16,6 +16,7 @@
 	successorTime     = 10 * time.Second       // from a crash until the next process of the endpoint is listed, at most
 	successorInterval = 100 * time.Millisecond // between two looks at the list
 	maxLost           = 64                     // requests that one check reports
+	maxLostTraits     = 1 << 16                // of the requests of all checks; with the parts of their prompts about 2 MB
 )
 
 // incarnation identifies a process of an endpoint.
@@ -63,15 +64,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := incarnation{e.ID, e.StartMillis}
-	if c, running := s.crashChecks[key]; running {
-		if len(c.lost) < maxLost {
-			c.lost = append(c.lost, newLostRequest(rr))
-		}
+	c, running := s.crashChecks[key]
+	switch {
+	case s.closed || s.lostTraits+len(rr.traits) > maxLostTraits || running && len(c.lost) == maxLost:
 		return
-	}
-	if s.closed {
+	case running:
+		s.lostTraits += len(rr.traits)
+		c.lost = append(c.lost, newLostRequest(rr))
 		return
 	}
+	s.lostTraits += len(rr.traits)
 	s.crashChecks[key] = &crashCheck{endpoint: e, lost: []lostRequest{newLostRequest(rr)}}
 	s.tasks.Go(func() { s.runCrashCheck(context.WithoutCancel(ctx), e) })
 }
@@ -87,6 +89,9 @@
 	s.mu.Lock()
 	c := s.crashChecks[key]
 	delete(s.crashChecks, key)
+	for _, l := range c.lost {
+		s.lostTraits -= len(l.traits)
+	}
 	s.mu.Unlock()
 	if !ended {
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -199,6 +199,7 @@
 	generations    map[*generation]bool                       // those in flight
 	placements     *placements                                // in and for other load groups
 	crashChecks    map[incarnation]*crashCheck                // those that run
+	lostTraits     int                                        // of the requests of all crashChecks
 	withoutOutput  map[*routedRequest]context.CancelCauseFunc // requests in flight that have had no output; the function ends the request
 	tasks          sync.WaitGroup                             // probes and evacuations in the background
 	closed         bool                                       // no more tasks are started
