--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -47,6 +47,7 @@
 	CutAfterTokens int           `json:"cutat"`  // index of the token before which a stream breaks
 	RefuseRequests int           `json:"refuse"` // number of requests to reject with 429
 	CrashOn        string        `json:"crash"`  // the engine crashes when it begins to answer a prompt that contains this; empty for none
+	CrashAfter     int           `json:"after"`  // number of tokens of that answer that leave it before
 }
 
 // EngineCounts counts events since an engine started.
--- a/fakes/engine_http.go
+++ b/fakes/engine_http.go
@@ -101,7 +101,8 @@
 		replyError(ctx, status, reason)
 		return
 	}
-	if e.crashesOn(promptText(req.Messages)) {
+	crashes, after := e.crashesOn(promptText(req.Messages))
+	if crashes && after == 0 {
 		crash(ctx, e.Kill)
 		return
 	}
@@ -111,7 +112,11 @@
 		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 		return
 	}
-	e.stream(ctx, g, 0, req.Model)
+	r := e.newReader(g, 0, req.Model)
+	if crashes {
+		r.crashAt = after
+	}
+	e.stream(ctx, r)
 }
 
 // takeFault reports whether to inject a fault now. Its argument returns a pointer
@@ -127,11 +132,11 @@
 	return true
 }
 
-// crashesOn reports whether the engine crashes when it begins to answer a prompt.
-func (e *Engine) crashesOn(prompt string) bool {
+// crashesOn reports whether the engine crashes when it begins to answer a prompt, and after how many tokens.
+func (e *Engine) crashesOn(prompt string) (crashes bool, after int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn)
+	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn), e.faults.CrashAfter
 }
 
 // crash kills a fake in place of the response to a request.
@@ -257,21 +262,27 @@
 	g.idleSince = time.Now()
 }
 
-// stream responds with one server-sent event for each token of g, beginning with
-// the token at index from.
-func (e *Engine) stream(ctx *fasthttp.RequestCtx, g *generation, from int, model string) {
+// stream responds with one server-sent event for each token that r returns.
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, r *tokenReader) {
 	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set("X-Generation", g.id)
+	ctx.Response.Header.Set("X-Generation", r.gen.id)
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStream(r, -1)
+}
+
+// newReader returns the reader of a response with the tokens of g, beginning with the one at index from.
+func (e *Engine) newReader(g *generation, from int, model string) *tokenReader {
 	cutAt := -1
 	if e.takeFault(func(f *EngineFaults) *int { return &f.CutStreams }) {
 		e.mu.Lock()
 		cutAt = e.faults.CutAfterTokens
 		e.mu.Unlock()
 	}
-	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStream(&tokenReader{engine: e, gen: g, sent: from, cutAt: cutAt, model: model}, -1)
+	return &tokenReader{engine: e, gen: g, sent: from, cutAt: cutAt, crashAt: -1, model: model}
 }
 
+const crashDelay = 20 * time.Millisecond // until the tokens that precede a crash have been sent
+
 // errCut ends a stream without the final event: a fault cuts the stream, its
 // generation was cancelled, or the engine was killed.
 var errCut = errors.New("stream was cut")
@@ -282,6 +293,7 @@
 	gen       *generation
 	sent      int // index of the next token
 	cutAt     int // index of the token before which the stream breaks; negative for never
+	crashAt   int // index of the token before which the engine crashes; negative for never
 	model     string
 	buf       bytes.Buffer // events to be read
 	err       error        // returned once buf is empty; nil while more events follow
@@ -311,7 +323,14 @@
 	time.Sleep(r.engine.takeStall())
 	available, state := r.engine.awaitTokens(r.gen, r.sent)
 	for ; r.sent < available; r.sent++ {
-		if r.sent == r.cutAt {
+		if r.sent == r.crashAt && r.buf.Len() == 0 {
+			time.Sleep(crashDelay)
+			_ = r.engine.Kill()
+		}
+		if r.sent == r.crashAt && r.buf.Len() > 0 {
+			return
+		}
+		if r.sent == r.cutAt || r.sent == r.crashAt {
 			r.err = errCut
 			return
 		}
@@ -381,7 +400,7 @@
 	case ctx.IsDelete():
 		replyJSON(ctx, fasthttp.StatusOK, e.cancel(g))
 	case ctx.IsGet():
-		e.stream(ctx, g, resumeIndex(ctx), "")
+		e.stream(ctx, e.newReader(g, resumeIndex(ctx), ""))
 	default:
 		replyError(ctx, fasthttp.StatusMethodNotAllowed, "use GET or DELETE")
 	}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -26,6 +26,31 @@
 	stream     *relay.Stream
 	firstToken relay.Token
 	empty      bool // the generation completed without a token
+	tokens     int  // received, up to minSoundTokens
+	sound      bool // its engine has answered it for longer than one that crashes as it begins to, or this node does not know what its request is
+}
+
+// minSoundTokens is the number of tokens from one engine that show that it doesn't crash when it begins to
+// answer a request: the first may leave an engine that is about to crash.
+const minSoundTokens = 2
+
+// nextToken returns the next token of an attempt. Until the attempt is known to be sound, it tells the kernel
+// that it is, or of the crash of its engine.
+func (f *Front) nextToken(c *chatRequest, a *attempt) (relay.Token, error) {
+	t, err := a.stream.Next(f.ctx)
+	if a.sound {
+		return t, err
+	}
+	a.tokens++
+	switch {
+	case err == nil && a.tokens < minSoundTokens:
+	case err == nil || isEOF(err):
+		a.sound = true
+		f.reportOutput(c.service.Name, c.traits)
+	default:
+		f.reportLost(c.service.Name, a.grant, c.traits, err)
+	}
+	return t, err
 }
 
 // startGeneration makes attempts until a generation has produced its first token
@@ -78,9 +103,8 @@
 	a.grant = grant
 	a.stream, err = f.cfg.Relay.Open(relay.Location{Addr: grant.Addr, RequestID: a.id}, body)
 	if err == nil {
-		a.firstToken, err = a.stream.Next(f.ctx)
+		a.firstToken, err = f.nextToken(c, &a)
 		if err == nil {
-			f.reportOutput(c.service.Name, c.traits)
 			return a, nil
 		}
 		a.stream.Close()
@@ -88,8 +112,9 @@
 			a.empty = true
 			return a, nil
 		}
+	} else {
+		f.reportLost(c.service.Name, grant, c.traits, err)
 	}
-	f.reportLost(c.service.Name, grant, c.traits, err)
 	return a, f.releaseFailed(a, err)
 }
 
--- a/front/quarantine_test.go
+++ b/front/quarantine_test.go
@@ -38,11 +38,11 @@
 	chat := func(system, user string) string {
 		return fmt.Sprintf(`{"model":"llm","max_tokens":4,"messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`, system, user)
 	}
-	t.Run("message of a prompt", func(t *testing.T) {
+	messageOfAPrompt := func(t *testing.T, tokensBeforeCrash int) {
 		d := startDeployment(t, local.Config{Nodes: 2, Engines: 7})
 		var addrs []string
 		for _, e := range d.Engines {
-			e.SetFaults(fakes.EngineFaults{CrashOn: "harmful"})
+			e.SetFaults(fakes.EngineFaults{CrashOn: "harmful", CrashAfter: tokensBeforeCrash})
 			addrs = append(addrs, e.Addr())
 		}
 		time.Sleep(joinTime)
@@ -64,7 +64,10 @@
 			qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%s", body))
 		}
 		qt.Assert(t, countEnded(addrs), qt.Equals, crashed)
-	})
+	}
+	for _, tokens := range []int{0, 1} {
+		t.Run(fmt.Sprint("message of a prompt, after tokens: ", tokens), func(t *testing.T) { messageOfAPrompt(t, tokens) })
+	}
 	t.Run("repeated call", func(t *testing.T) {
 		d := startDeployment(t, local.Config{Nodes: 2, Engines: 1, Services: 6})
 		var addrs []string
--- a/front/reattach.go
+++ b/front/reattach.go
@@ -138,7 +138,7 @@
 		return apierr.Unknown(fasthttp.StatusBadGateway, apierr.CodeLost, "generation %s cannot be resumed: %v", p.Generation, err).WithOutcome(apierr.OutcomeRan)
 	}
 	f.cfg.Daemon.Record(trace.Entry{Kind: "reattach", Request: p.Request, Workspace: p.Workspace, Endpoint: p.Endpoint, Detail: "after token " + itoa(last)})
-	a := attempt{id: p.Request, grant: kernel.Grant{Endpoint: p.Endpoint, Addr: addr}, stream: stream}
+	a := attempt{id: p.Request, grant: kernel.Grant{Endpoint: p.Endpoint, Addr: addr}, stream: stream, sound: true}
 	c := &chatRequest{id: p.Request, identity: policy.Identity{Team: p.Team, Workspace: p.Workspace}, service: svc}
 	f.setStreamBody(ctx, &streamBody{front: f, chat: c, attempt: a, meter: f.newMeter(p.Request), reattached: true})
 	return nil
--- a/front/stream.go
+++ b/front/stream.go
@@ -115,7 +115,7 @@
 // readNext waits for the next token, the end or the failure of the generation, and
 // writes its event to the buffer.
 func (b *streamBody) readNext() {
-	t, err := b.attempt.stream.Next(b.front.ctx)
+	t, err := b.front.nextToken(b.chat, &b.attempt)
 	switch {
 	case err == nil:
 		b.addToken(t)
--- a/front/whole.go
+++ b/front/whole.go
@@ -66,7 +66,7 @@
 		if n == 1 {
 			f.firstTokenTime.Update(time.Since(started).Seconds())
 		}
-		text, tokens, err := f.collectText(a)
+		text, tokens, err := f.collectText(c, &a)
 		if err == nil {
 			f.cfg.Daemon.ReportEnded(kernel.RequestEnded{Request: a.id, Tokens: tokens})
 			f.countCompleted(c.service.Name)
@@ -84,7 +84,7 @@
 
 // collectText reads the tokens of a generation to its end and returns their text
 // and number.
-func (f *Front) collectText(a attempt) (string, int, error) {
+func (f *Front) collectText(c *chatRequest, a *attempt) (string, int, error) {
 	defer a.stream.Close()
 	if a.empty {
 		return "", 0, nil
@@ -99,7 +99,7 @@
 		text.WriteString(d.text())
 		meter.addToken(time.Now(), t.Index)
 		var err error
-		t, err = a.stream.Next(f.ctx)
+		t, err = f.nextToken(c, a)
 		if isEOF(err) {
 			return text.String(), meter.tokens, nil
 		}
