--- a/assign/endless_test.go
+++ b/assign/endless_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/plantaindeck/plantaindeck/fakes"
 	"github.com/plantaindeck/plantaindeck/spec"
 	"github.com/valyala/fasthttp"
 )
@@ -30,3 +31,15 @@
 		})
 	}
 }
+
+// TestUndefinedStatus guards against a list of models from a response with a status code such as 000. Commands
+// are sent by the same client.
+func TestUndefinedStatus(t *testing.T) {
+	for _, status := range fakes.UndefinedStatuses {
+		server, err := fakes.NewRawServer(fakes.RawStatus(status))
+		qt.Assert(t, err, qt.IsNil)
+		defer server.Close()
+		_, err = New(Config{}).loadedModels(spec.Endpoint{Name: "e", Addr: server.Addr()})
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", status))
+	}
+}
--- a/socket/status.go
+++ b/socket/status.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -15,25 +16,27 @@
 	minStatus      = 100
 	minFinalStatus = 200
 	maxStatus      = 599
+	switching      = 101     // to another protocol, which no client here asks for
 	maxInterim     = 4       // interim responses (1xx) before the final one
-	maxInterimSize = 8 << 10 // bytes of all of their heads
+	maxInterimSize = 8 << 10 // bytes of all of their heads, and of the final status line
 	dialTimeout    = 3 * time.Second
 )
 
-// StatusError says that a response has a status code which HTTP does not define, so that it is not known
-// what became of the request.
+// StatusError says that a response has a status code which HTTP does not define, or not for the requests of
+// this program, so that it is not known what became of the request.
 type StatusError struct {
 	Status int
 }
 
 // Error gives the status code.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("the response has the status code %03d, which is not between %d and %d", e.Status, minStatus, maxStatus)
+	return fmt.Sprintf("the response has the status code %03d, which is not one of %d to %d without %d", e.Status, minStatus, maxStatus, switching)
 }
 
-// CheckStatus returns a *StatusError unless HTTP defines the class of a status code.
+// CheckStatus returns a *StatusError unless HTTP defines the class of a status code, and if the endpoint
+// switches to another protocol.
 func CheckStatus(status int) error {
-	if status < minStatus || status > maxStatus {
+	if status < minStatus || status > maxStatus || status == switching {
 		return &StatusError{Status: status}
 	}
 	return nil
@@ -89,10 +92,9 @@
 func (c *checkedConn) readStatus() error {
 	left := maxInterimSize
 	for range maxInterim {
-		line, err := c.r.ReadSlice('\n')
-		for err == nil && len(bytes.TrimSpace(line)) == 0 && left > 0 { // empty lines may precede a response
-			left -= len(line)
-			line, err = c.r.ReadSlice('\n')
+		line, err := c.readLine(&left)
+		for err == nil && isBlank(line) { // empty lines may precede a response
+			line, err = c.readLine(&left)
 		}
 		if err != nil {
 			return err
@@ -107,9 +109,8 @@
 			c.pending = bytes.Clone(line)
 			return nil
 		}
-		for len(bytes.TrimSpace(line)) > 0 && left > 0 {
-			left -= len(line)
-			if line, err = c.r.ReadSlice('\n'); err != nil {
+		for !isBlank(line) {
+			if line, err = c.readLine(&left); err != nil {
 				return err
 			}
 		}
@@ -117,6 +118,21 @@
 	return errors.New("only interim (1xx) responses have arrived")
 }
 
+// readLine reads a line and takes its length from left, which must not fall below 0. The error is io.EOF only
+// if nothing has arrived since the request.
+func (c *checkedConn) readLine(left *int) ([]byte, error) {
+	line, err := c.r.ReadSlice('\n')
+	if err == io.EOF && (len(line) > 0 || *left < maxInterimSize) {
+		err = io.ErrUnexpectedEOF
+	}
+	if *left -= len(line); err == nil && *left < 0 {
+		err = errors.Errorf("more than %d bytes have arrived before the status of a response", maxInterimSize)
+	}
+	return line, err
+}
+
+func isBlank(line []byte) bool { return len(bytes.TrimSpace(line)) == 0 }
+
 // statusOf returns the status code of a status line, and whether it has one.
 func statusOf(line []byte) (int, bool) {
 	_, rest, found := bytes.Cut(line, []byte(" "))
