--- a/assign/endless_test.go
+++ b/assign/endless_test.go
@@ -35,11 +35,9 @@
 // TestUndefinedStatus guards against a list of models from a response with a status code such as 000. Commands
 // are sent by the same client.
 func TestUndefinedStatus(t *testing.T) {
-	for _, status := range fakes.UndefinedStatuses {
-		server, err := fakes.NewRawServer(fakes.RawStatus(status))
-		qt.Assert(t, err, qt.IsNil)
-		defer server.Close()
-		_, err = New(Config{}).loadedModels(spec.Endpoint{Name: "e", Addr: server.Addr()})
+	err := fakes.EachUndefinedStatus(func(status, addr string) {
+		_, err := New(Config{}).loadedModels(spec.Endpoint{Name: "e", Addr: addr})
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", status))
-	}
+	})
+	qt.Assert(t, err, qt.IsNil)
 }
--- a/daemon/poll_test.go
+++ b/daemon/poll_test.go
@@ -73,11 +73,9 @@
 
 // TestUndefinedStatus guards against the content of a response with a status code such as 000.
 func TestUndefinedStatus(t *testing.T) {
-	for _, status := range fakes.UndefinedStatuses {
-		server, err := fakes.NewRawServer(fakes.RawStatus(status))
-		qt.Assert(t, err, qt.IsNil)
-		defer server.Close()
-		_, err = get(newPollClient(1<<10), "http://"+server.Addr()+"/")
+	err := fakes.EachUndefinedStatus(func(status, addr string) {
+		_, err := get(newPollClient(1<<10), "http://"+addr+"/")
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", status))
-	}
+	})
+	qt.Assert(t, err, qt.IsNil)
 }
--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -35,6 +35,19 @@
 	return func(*http.Request) string { return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}" }
 }
 
+// EachUndefinedStatus calls f with each of the UndefinedStatuses and the address of a server that answers with it.
+func EachUndefinedStatus(f func(status, addr string)) error {
+	for _, status := range UndefinedStatuses {
+		s, err := NewRawServer(RawStatus(status))
+		if err != nil {
+			return err
+		}
+		f(status, s.Addr())
+		s.Close()
+	}
+	return nil
+}
+
 // Addr returns the address.
 func (s *RawServer) Addr() string { return s.ln.Addr().String() }
 
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -125,11 +125,8 @@
 // TestUndefinedStatus guards against a response with a status code such as 000 that counts as the response, the
 // refusal or the report of an endpoint.
 func TestUndefinedStatus(t *testing.T) {
-	for _, status := range fakes.UndefinedStatuses {
-		server, err := fakes.NewRawServer(fakes.RawStatus(status))
-		qt.Assert(t, err, qt.IsNil)
-		defer server.Close()
-		c, ctx, addr := NewClient(Config{StallTimeout: time.Second}), context.Background(), server.Addr()
+	err := fakes.EachUndefinedStatus(func(status, addr string) {
+		c, ctx := NewClient(Config{StallTimeout: time.Second}), context.Background()
 		_, doErr := c.Do(ctx, PlainRequest{Addr: addr, Method: http.MethodPost, Path: "/", RequestID: "a"})
 		_, openErr := c.Open(Location{Addr: addr}, nil)
 		_, stateErr := c.State(Location{Addr: addr, Generation: "g"})
@@ -141,5 +138,6 @@
 		for _, err := range []error{exchangeErr, getErr} {
 			qt.Check(t, err, qt.ErrorAs, new(*socket.StatusError), qt.Commentf("%s", status))
 		}
-	}
+	})
+	qt.Assert(t, err, qt.IsNil)
 }
--- a/store/broken_test.go
+++ b/store/broken_test.go
@@ -51,14 +51,12 @@
 // TestUndefinedStatus guards against a write that counts as one without effect, or as done, because the
 // response has a status code such as 000.
 func TestUndefinedStatus(t *testing.T) {
-	for _, status := range fakes.UndefinedStatuses {
-		server, err := fakes.NewRawServer(fakes.RawStatus(status))
-		qt.Assert(t, err, qt.IsNil)
-		defer server.Close()
-		c := store.NewClient(store.Config{Addr: server.Addr(), Timeout: 5 * time.Second})
-		_, err = c.Commit(context.Background(), nil, nil)
+	err := fakes.EachUndefinedStatus(func(status, addr string) {
+		c := store.NewClient(store.Config{Addr: addr, Timeout: 5 * time.Second})
+		_, err := c.Commit(context.Background(), nil, nil)
 		qt.Check(t, err, qt.ErrorAs, new(*store.UnknownError), qt.Commentf("%s", status))
 		_, err = c.Get(context.Background(), "a")
 		qt.Check(t, err, qt.ErrorAs, new(*store.UnavailableError), qt.Commentf("%s", status))
-	}
+	})
+	qt.Assert(t, err, qt.IsNil)
 }
