platform: name the engine in reports, so that no other server runs them as requests

A node asks each engine for its report.

Cause: where connections are kept, a report carries a random X-Request-Id, and nothing else says that it is not a request of that service.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,8 +159,9 @@
 	// the KV cache at source, from which the generation can continue; its Name is
 	// empty if there is none.
 	Copy(ctx context.Context, source, target, requestID string, final bool) (CacheCopy, error)
-	// Leaving asks an engine whether it is leaving and when it will be gone.
-	Leaving(ctx context.Context, addr string) (LeaveNotice, error)
+	// Leaving asks an engine whether it is leaving and when it will be gone. It is an error if another
+	// server has its address.
+	Leaving(ctx context.Context, e fleet.Endpoint) (LeaveNotice, error)
 	// Drop frees a copy that will not be used.
 	Drop(ctx context.Context, c CacheCopy) error
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -39,7 +39,7 @@
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
 			// An engine that does not respond is not reported: its requests fail anyway.
-			n, err := s.cfg.Dialect.Leaving(ctx, e.Addr)
+			n, err := s.cfg.Dialect.Leaving(ctx, e)
 			if err == nil && n.Leaving {
 				report := kernel.LeaveReported{Endpoint: e.ID, GoneAt: n.GoneAt}
 				if n.Final {
--- a/entry/process.go
+++ b/entry/process.go
@@ -81,7 +81,7 @@
 	if !s.awaitEndCheck(ctx, e) {
 		return unknown(fmt.Errorf("it takes no call now"))
 	}
-	n, err := s.cfg.Dialect.Leaving(ctx, e.Addr)
+	n, err := s.cfg.Dialect.Leaving(ctx, e)
 	switch {
 	case err != nil:
 		s.heedNotice(time.Now(), e, refusalNotice(err))
--- a/relay/kept.go
+++ b/relay/kept.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -29,9 +30,10 @@
 type KeptRequest struct {
 	Addr     string
 	Path     string
-	IDHeader string // name of the header that identifies a call and that endpoints echo; empty for none
-	ID       string // value of that header; unique
-	Once     bool   // the call has a connection of its own
+	IDHeader string      // name of the header that identifies a call and that endpoints echo; empty for none
+	ID       string      // value of that header; unique
+	Header   http.Header // further headers; nil for none
+	Once     bool        // the call has a connection of its own
 }
 
 // KeptResponse is the response to a Get.
@@ -217,6 +219,7 @@
 	if err != nil {
 		return KeptResponse{}, false, err
 	}
+	maps.Copy(req.Header, r.Header)
 	req.Header["User-Agent"] = []string{""} // keeps the HTTP client from adding its own
 	if r.IDHeader != "" {
 		req.Header.Set(r.IDHeader, r.ID)
