--- a/review/world3/origins.go
+++ b/review/world3/origins.go
@@ -131,7 +131,7 @@
 	stop := make(chan struct{})
 	cut := &cutter{cancel: map[string]context.CancelFunc{}}
 	var clients sync.WaitGroup
-	for i := range 60 {
+	for i := range 160 {
 		c := &streamClient{w: w, rand: rand.New(rand.NewPCG(uint64(i), 5)), cut: cut}
 		clients.Go(func() {
 			for k := 0; ; k++ {
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -12,7 +12,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -67,9 +66,6 @@
 	}()
 	time.AfterFunc(timeLimit, func() { w.fatal("the run took longer than %s", timeLimit) })
 	w.chooseNet()
-	if err := w.store.listen(w.storeAddr()); err != nil {
-		w.fatal("listen for the store: %v", err)
-	}
 	broken := cases[os.Args[1]](w)
 	verdict, code := "the rule held", 0
 	if broken {
@@ -118,13 +114,11 @@
 	fmt.Printf(format, args...)
 }
 
-// chooseNet chooses the loopback addresses of the run, on which no other run listens.
+// chooseNet chooses the loopback addresses of the run, on which no other run listens, and serves the store there.
 func (w *world) chooseNet() {
 	for i := range 100 {
 		w.net = byte(20 + (os.Getpid()+7*i)%200)
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", w.net, portReady))
-		if err == nil {
-			_ = ln.Close()
+		if w.store.listen(w.storeAddr()) == nil {
 			return
 		}
 	}
