review: case 11, the first part of all prompts is blamed for crashes

Tried: soon after the consumers have gone on with another first part, eight requests that crash servers come, whose consumers leave, and then one a second.

Seen: what the sound requests share is quarantined, and each of them is refused from then on. Two failures of TestSoak, whose sound requests were quarantined, led to it.

The former case 15, a drill and a kill, gives way, as KNOWN-RED.txt had it already; the parts of the stand-in that only it used are gone.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Plays case 15 and writes record.txt beside this file. Exits with 1 if the rule was broken, 0 if it held and
-# 2 if the case could not run. TROUBLE=0 leaves the disruption out, TROUBLE=kill leaves out the drill of the store, and TROUBLE=drill the kill.
+# 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/world3 quarantine "$here/record.txt"
+exec target/review/world3 evidence "$here/record.txt"
--- a/review/world3/traffic.go
+++ b/review/world3/traffic.go
@@ -9,6 +9,12 @@
 	"time"
 )
 
+// contact is contact-ms of the sheet of the site zlk-stock.
+const contact = 3 * time.Second
+
+// harmfulPart is the part of prompts that crashes servers.
+const harmfulPart = "e4402b7d"
+
 // soundClients starts clients that send sound requests on the route r-tray to random machines until stop is
 // closed. Their prompts share the first part with all others. It returns a function that tells how many ended
 // with each status.
