--- a/entry/call.go
+++ b/entry/call.go
@@ -143,7 +143,9 @@
 		return nil, err
 	}
 	s.recordOutcome(e.ID, resp.Status < http.StatusInternalServerError)
-	s.reportOutput(rr)
+	if isOutput(resp.Status) {
+		s.reportOutput(rr)
+	}
 	return &bufferedResponse{status: resp.Status, header: s.cfg.Dialect.CallerHeader(resp.Header), body: body}, nil
 }
 
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -153,6 +153,13 @@
 	}
 }
 
+// isOutput reports whether a whole response of a plain service shows that an endpoint has run the request.
+// Failures and rejections do not: an endpoint may send them before it begins, while the same request crashes
+// others. Load pattern: a few endpoints fail a share of all requests at once, harmful ones among them.
+func isOutput(status int) bool {
+	return status >= http.StatusOK && status < http.StatusBadRequest
+}
+
 // wasAborted reports whether a quarantine has ended the context of a request.
 func wasAborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errQuarantined) }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -240,7 +240,8 @@
 }
 
 // passResponse sends the caller a response that is not a stream. It reports
-// false if the generation needs another attempt instead.
+// false if the generation needs another attempt instead. Such a response is no output: engines
+// reject and fail requests without having begun to answer them.
 func (g *generation) passResponse(resp *relay.Response) bool {
 	s := g.server
 	body, err := s.readWhole(g.ctx, g.endpoint, resp)
@@ -252,7 +253,6 @@
 		return false
 	}
 	defer s.bodies.release(body)
-	g.reportSound()
 	s.recordOutcome(g.endpoint.ID, resp.Status < http.StatusInternalServerError)
 	if g.headerSent || resp.Status >= http.StatusInternalServerError && g.routed.route.Retryable() && g.attempts < g.routed.route.MaxAttempts {
 		g.lastErr = errors.Errorf("endpoint %s responded with status %d", g.endpoint.ID, resp.Status)
@@ -272,6 +272,7 @@
 	defer g.endSegment(seg)
 	events := relay.NewEventReader(resp)
 	g.prelude = nil
+	numbered := 0                 // events of the segment that have an id, as those of an answer do and those of a failure may not
 	joined := g.lastEventID == "" // no event precedes the segment, or its first one follows the last of those
 	for {
 		event, err := events.Next()
@@ -291,7 +292,10 @@
 		if err == nil && !event.IsComment() {
 			g.recordEvent(seg)
 		}
-		if err == nil && seg.events == minSoundEvents || errors.Is(err, io.EOF) && !resp.UntilClose {
+		if err == nil && event.ID != "" {
+			numbered++
+		}
+		if err == nil && numbered == minSoundEvents || errors.Is(err, io.EOF) && !resp.UntilClose && numbered > 0 {
 			g.reportSound()
 		}
 		if err == nil || errors.Is(err, io.EOF) && !g.headerSent {
@@ -390,7 +394,7 @@
 }
 
 // reportSound records that an engine has answered the generation for longer than one that is about
-// to crash.
+// to crash, or has answered it whole.
 func (g *generation) reportSound() {
 	g.sound = true
 	g.server.reportOutput(g.routed)
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -41,9 +41,12 @@
 	if a.sound {
 		return t, err
 	}
-	a.tokens++
+	if err == nil {
+		a.tokens++
+	}
 	switch {
 	case err == nil && a.tokens < minSoundTokens:
+	case isEOF(err) && a.tokens == 0: // an engine may end a stream before it begins to run the request
 	case err == nil || isEOF(err):
 		a.sound = true
 		f.reportOutput(c.service.Name, c.traits)
--- a/front/plain.go
+++ b/front/plain.go
@@ -196,10 +196,11 @@
 		ended.Leaving = refused.Leaving
 	}
 	f.cfg.Daemon.ReportEnded(ended)
-	if err == nil {
-		f.reportOutput(c.service.Name, c.traits)
-	} else {
+	switch {
+	case err != nil:
 		f.reportLost(c.service.Name, grant, c.traits, err)
+	case resp.Status < fasthttp.StatusBadRequest: // an endpoint may reject or fail a call before it begins to run it
+		f.reportOutput(c.service.Name, c.traits)
 	}
 	return resp, callError(grant.Endpoint, err)
 }
