--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed watches the platform's store and posts what it holds to the
 // kernel: the routing table, the endpoints, the other nodes and the quarantines. It also
-// keeps this node's own record, quarantines and the versions of services in the store.
+// keeps this node's own record, quarantines, the evidence of crashes and the versions of services in the store.
 //
 // Only a few nodes watch the store (fleet.ReadsStore); the others learn of changes
 // from them by gossip. Endpoints whose records expire around an outage of the
@@ -300,6 +300,14 @@
 			}
 			continue
 		}
+		if e.Key == evidenceEntry {
+			if evidence, err := decodeEvidence(e); err != nil {
+				f.reject(e.Key, "", err)
+			} else {
+				f.cfg.Daemon.Post(ctx, kernel.EvidenceRead{Evidence: evidence}) // before the items, as for quarantines
+			}
+			continue
+		}
 		if strings.HasPrefix(e.Key, originPrefix) {
 			continue // read when a caller takes up a stream that no node knows
 		}
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -194,6 +194,11 @@
 	List []*wire.Quarantine
 }
 
+// EvidenceRead carries the crashes that this node has read from the platform's store.
+type EvidenceRead struct {
+	Evidence *wire.Evidence
+}
+
 // Stopping reports that this node has been asked to stop.
 type Stopping struct{}
 
@@ -219,4 +224,5 @@
 func (EndpointCrashed) isEvent()    {}
 func (OutputSeen) isEvent()         {}
 func (QuarantinesRead) isEvent()    {}
+func (EvidenceRead) isEvent()       {}
 func (Stopping) isEvent()           {}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -21,7 +21,8 @@
 //     many endpoints crash under it.
 //   - Of the traits that explain the same crashes, none is quarantined alone: a quarantine
 //     holds all of those that one request has, and concerns requests that have them all.
-//   - A quarantine is written to the platform's store, where it outlasts the nodes.
+//   - A quarantine is written to the platform's store, where it outlasts the nodes, and so are the
+//     crashes that are evidence, with what is suspected of each and what no longer is.
 //   - The memory is bounded by maxCrashes, maxRequests, maxTraits, maxCrashTraits, maxQuarantines
 //     and maxEstablished.
 package poison
@@ -100,6 +101,7 @@
 	gossipAt    time.Time  // when a neighbour was last told the quarantines
 	gossips     int        // messages with the quarantines so far
 	judgedAt    time.Time  // when the evidence was last judged
+	version     uint64     // of the crashes; changes whenever they do
 }
 
 // crash is the end of an endpoint's process while requests without output ran there.
@@ -112,6 +114,8 @@
 	requests    [][]uint64          // suspected traits of each request
 	own         []uint64            // of each request, the trait that it shares only with its retries; 0 or missing if unknown
 	named       map[uint64]struct{} // all of these suspected traits
+	cleared     map[uint64]struct{} // traits that have had output since the crash
+	established map[uint64]struct{} // traits that were established at another node which wrote the crash to the store
 }
 
 // withNamed returns the crash with the index of its traits.
@@ -143,8 +147,9 @@
 func (c crash) withRequests(report crash) crash {
 	requests, own := slices.Clone(c.requests), make([]uint64, len(c.requests))
 	copy(own, c.own)
-	for i := range report.requests[:min(len(report.requests), max(maxRequests-len(requests), 0))] {
-		requests, own = append(requests, report.requests[i]), append(own, report.ownTrait(i))
+	reported := c.withoutCleared(report.requests)
+	for i := range reported[:min(len(reported), max(maxRequests-len(requests), 0))] {
+		requests, own = append(requests, reported[i]), append(own, report.ownTrait(i))
 	}
 	c.requests, c.own = requests, own
 	return truncated(c)
@@ -171,6 +176,8 @@
 	case kernel.QuarantinesRead:
 		next, _, _, effects := v.merge(now, e.List)
 		return next, effects
+	case kernel.EvidenceRead:
+		return v.WithEvidence(now, e.Evidence), nil
 	case kernel.FrameReceived:
 		switch body := e.Frame.GetBody().(type) {
 		case *wire.Frame_Crash:
@@ -202,7 +209,7 @@
 		next.recent, next.older, next.rotatedAt = newTraits(), v.recent, now
 	}
 	if len(v.crashes) > 0 && now.Sub(v.crashes[0].at) >= crashTTL {
-		next.crashes = v.crashes[1:]
+		next.crashes, next.version = v.crashes[1:], v.version+1
 	}
 	var effects []kernel.Effect
 	if next.mustJudge(now) {
@@ -242,6 +249,11 @@
 	return &next
 }
 
+// isJoining reports whether this node has just started.
+func (v *View) isJoining(now time.Time) bool {
+	return v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime
+}
+
 // isEstablished reports whether requests with a trait had output at this node lately.
 func (v *View) isEstablished(t uint64) bool {
 	if _, ok := v.recent.Get(t); ok {
@@ -310,10 +322,8 @@
 func (v *View) addCrash(now time.Time, m *member.View, report crash) (*View, []kernel.Effect) {
 	next := *v
 	report.at, report.outputs = now, v.outputsOf(report.service)
-	next.crashes = slices.Clone(v.crashes)
-	i := slices.IndexFunc(next.crashes, func(c crash) bool {
-		return c.endpoint == report.endpoint && c.startMillis == report.startMillis && (c.startMillis != 0 || now.Sub(c.at) < minRestart)
-	})
+	next.crashes, next.version = slices.Clone(v.crashes), v.version+1
+	i := slices.IndexFunc(next.crashes, report.isSame)
 	switch {
 	case i >= 0:
 		next.crashes[i] = next.crashes[i].withRequests(report)
@@ -345,7 +355,7 @@
 		crashes:       v.crashes[:settled],
 		outputsOf:     v.outputsOf,
 		isEstablished: v.isEstablished,
-		joining:       v.startedAt.IsZero() || now.Sub(v.startedAt) < joinTime,
+		joining:       v.isJoining(now),
 	}
 	return v.beginQuarantines(now, m, culprits(e, v.quarantines.active(now)))
 }
@@ -375,21 +385,10 @@
 		return v, nil, nil
 	}
 	next := *v
-	next.crashes = nil
-	isCleared := map[uint64]bool{}
-	for _, t := range cleared {
-		isCleared[t] = true
-	}
+	next.crashes, next.version = nil, v.version+1
 	for _, c := range v.crashes {
-		if slices.ContainsFunc(cleared, c.names) {
-			var requests [][]uint64
-			for _, r := range c.requests {
-				requests = append(requests, slices.DeleteFunc(slices.Clone(r), func(t uint64) bool { return isCleared[t] }))
-			}
-			c.requests = requests
-			c = c.withNamed()
-		}
-		next.crashes = append(next.crashes, c)
+		named := slices.DeleteFunc(slices.Clone(cleared), func(t uint64) bool { return !c.names(t) })
+		next.crashes = append(next.crashes, c.withCleared(named))
 	}
 	var effects []kernel.Effect
 	for set, q := range v.quarantines.sorted() {
