--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -91,10 +91,8 @@
 			continue
 		}
 		c.established = traitsIn(nil, kept.GetEstablished())
-		for t := range c.established {
-			if joining && next.recent.Len() < maxEstablished {
-				next.recent = next.recent.Set(t, struct{}{})
-			}
+		if joining {
+			next.recent = withEstablished(next.recent, kept.GetEstablished())
 		}
 		changed = next.addKept(c.withCleared(kept.GetCleared())) || changed
 	}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -80,13 +80,14 @@
 	return handle.Of(s)
 }
 
-// traitMap holds traits that requests with output had.
-type traitMap = immutable.Map[uint64, struct{}]
+// traitMap holds, for traits that requests with output had, when the last of them was at this node; zero if
+// that was at another node or before this one started.
+type traitMap = immutable.Map[uint64, time.Time]
 
 // outputMap counts requests by service.
 type outputMap = immutable.Map[string, int]
 
-func newTraits() *traitMap { return immutable.NewMap[uint64, struct{}](nil) }
+func newTraits() *traitMap { return immutable.NewMap[uint64, time.Time](nil) }
 
 // View is the state of the plug-in: the crashes that are evidence, the quarantines, and the
 // traits that had output lately. It is immutable.
@@ -168,9 +169,9 @@
 		next, effects := v.addCrash(now, m, report)
 		return next, append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Crash{Crash: report.wire()}})...)
 	case kernel.OutputSeen:
-		next, cleared, effects := v.withOutput(e).clearTraits(now, m, e.Traits)
-		if len(cleared) > 0 {
-			effects = append(effects, m.SendTo(m.Owners(), &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: cleared}}})...)
+		next, cleared, effects := v.withOutput(now, e).refute(now, m, refutation{traits: e.Traits, all: true})
+		if len(cleared.traits) > 0 {
+			effects = append(effects, m.SendTo(m.Owners(), cleared.frame())...)
 		}
 		return next, effects
 	case kernel.QuarantinesRead:
@@ -183,15 +184,15 @@
 		case *wire.Frame_Crash:
 			return v.addCrash(now, m, decodeCrash(body.Crash))
 		case *wire.Frame_Sound:
-			next, _, effects := v.clearTraits(now, m, body.Sound.GetTraits())
+			next, _, effects := v.refute(now, m, decodeSound(body.Sound))
 			return next, effects
 		case *wire.Frame_Quarantines:
-			next, merged, established, effects := v.merge(now, body.Quarantines.GetList())
+			next, merged, refuted, effects := v.merge(now, body.Quarantines.GetList())
 			for _, set := range merged {
 				effects = append(effects, save(now, m, set, next.quarantines[set])...)
 			}
-			if len(established) > 0 {
-				effects = append(effects, m.SendTo([]string{e.From}, &wire.Frame{Body: &wire.Frame_Sound{Sound: &wire.Traits{Traits: established}}})...)
+			if len(refuted.traits) > 0 {
+				effects = append(effects, m.SendTo([]string{e.From}, refuted.frame())...)
 			}
 			return next, effects
 		}
@@ -238,12 +239,12 @@
 }
 
 // withOutput returns the view after a request had output at this node.
-func (v *View) withOutput(e kernel.OutputSeen) *View {
+func (v *View) withOutput(now time.Time, e kernel.OutputSeen) *View {
 	next := *v
 	next.outputs = v.outputs.Set(e.Service, v.outputsOf(e.Service)+1)
 	for _, t := range e.Traits {
 		if next.recent.Len() < maxEstablished {
-			next.recent = next.recent.Set(t, struct{}{})
+			next.recent = next.recent.Set(t, now)
 		}
 	}
 	return &next
@@ -256,13 +257,19 @@
 
 // isEstablished reports whether requests with a trait had output at this node lately.
 func (v *View) isEstablished(t uint64) bool {
-	if _, ok := v.recent.Get(t); ok {
-		return true
-	}
-	_, ok := v.older.Get(t)
+	_, ok := v.lastOutput(t)
 	return ok
 }
 
+// lastOutput returns when the last request with an established trait had output at this node, or false if the
+// trait is not established.
+func (v *View) lastOutput(t uint64) (time.Time, bool) {
+	if at, ok := v.recent.Get(t); ok {
+		return at, true
+	}
+	return v.older.Get(t)
+}
+
 // ownTraits is the number of a request's first traits that name the request itself.
 const ownTraits = 2
 
@@ -372,44 +379,6 @@
 	return effects
 }
 
-// clearTraits drops the suspicion of traits of a request that had output, and lifts the
-// quarantines that name them. It returns the traits that were suspected.
-func (v *View) clearTraits(now time.Time, m *member.View, traits []uint64) (*View, []uint64, []kernel.Effect) {
-	var cleared []uint64
-	for _, t := range traits {
-		if v.suspects(t) {
-			cleared = append(cleared, t)
-		}
-	}
-	if len(cleared) == 0 {
-		return v, nil, nil
-	}
-	next := *v
-	next.crashes, next.version = nil, v.version+1
-	for _, c := range v.crashes {
-		named := slices.DeleteFunc(slices.Clone(cleared), func(t uint64) bool { return !c.names(t) })
-		next.crashes = append(next.crashes, c.withCleared(named))
-	}
-	var effects []kernel.Effect
-	for set, q := range v.quarantines.sorted() {
-		if q.lifted || !set.hasAny(cleared) {
-			continue
-		}
-		lifted := q
-		lifted.lifted = true
-		next.quarantines = next.quarantines.with(set, lifted)
-		effects = append(effects, save(now, m, set, lifted)...)
-		effects = append(effects, kernel.Record{Kind: "quarantine-lifted", Detail: fmt.Sprintf("requests with a trait of %s have had output", set)})
-		if rest := set.minus(cleared); rest != "" {
-			if _, known := next.quarantines[rest]; !known {
-				next.quarantines = next.quarantines.with(rest, q)
-				effects = append(effects, save(now, m, rest, q)...)
-			}
-		}
-	}
-	return &next, cleared, effects
-}
-
 // suspects reports whether a crash or a quarantine names a trait.
 func (v *View) suspects(t uint64) bool {
 	for set, q := range v.quarantines {
@@ -450,31 +419,6 @@
 	})
 }
 
-// merge stores the quarantines of another node, or of the store, that are newer than those of
-// this one. It refuses those of traits that are established here and returns these traits: a
-// node that has just started cannot know them.
-func (v *View) merge(now time.Time, list []*wire.Quarantine) (next *View, merged []traitSet, established []uint64, effects []kernel.Effect) {
-	next = &View{}
-	*next = *v
-	for _, w := range list {
-		set, q := decodeQuarantine(now, w)
-		if set == "" || !q.replaces(next.quarantines[set]) {
-			continue
-		}
-		if here := slices.DeleteFunc(set.traits(), func(t uint64) bool { return !v.isEstablished(t) }); len(here) > 0 && q.isActive(now) {
-			established = append(established, here...)
-			continue
-		}
-		wasActive := next.quarantines[set].isActive(now)
-		next.quarantines = next.quarantines.with(set, q)
-		merged = append(merged, set)
-		if q.isActive(now) && !wasActive {
-			effects = append(effects, notify(now, set, q, "another node said so")...)
-		}
-	}
-	return next, merged, established, effects
-}
-
 // save returns the effect that writes a quarantine to the platform's store, or removes it from
 // there, if that falls to this node: one is enough.
 func save(now time.Time, m *member.View, set traitSet, q quarantine) []kernel.Effect {
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -136,13 +136,21 @@
 // next returns the quarantine that follows the last one of a set, from now on.
 func (l quarantines) next(now time.Time, set traitSet) quarantine {
 	number := l[set].number + 1
+	return quarantine{number: number, until: now.Add(holdOf(number))}
+}
+
+// holdOf returns how long the quarantine with a number lasts.
+func holdOf(number uint32) time.Duration {
 	hold := minHold
 	for i := uint32(1); i < number && hold < maxHold; i++ {
 		hold *= holdFactor
 	}
-	return quarantine{number: number, until: now.Add(min(hold, maxHold))}
+	return min(hold, maxHold)
 }
 
+// began returns when the quarantine began, or later if it was read from the store.
+func (q quarantine) began() time.Time { return q.until.Add(-holdOf(q.number)) }
+
 // active returns the sets that are quarantined now.
 func (l quarantines) active(now time.Time) []traitSet {
 	var sets []traitSet
