--- a/carry/conn.go
+++ b/carry/conn.go
@@ -23,6 +23,7 @@
 	unread  []byte // received and not read yet
 	readErr error  // after unread; nil while more may come
 	closed  atomic.Bool
+	sent    atomic.Uint64 // bytes of the request
 }
 
 // Read implements net.Conn. The error is io.EOF only if the endpoint has closed the connection,
@@ -44,6 +45,8 @@
 			c.readErr = &relay.CarrierError{Node: c.node, Unsent: true, Err: errors.New(piece.GetBroken())}
 		case piece.GetBroken() != "":
 			c.readErr = errors.Errorf("as node %s says: %s", c.node, piece.GetBroken())
+		case piece.GetEnd() && piece.GetTaken() > 0 && piece.GetTaken() < c.sent.Load():
+			c.readErr = errors.Errorf("as node %s says, the connection closed after %d bytes of the request", c.node, piece.GetTaken())
 		case piece.GetEnd():
 			c.readErr = io.EOF
 		}
@@ -61,6 +64,7 @@
 func (c *carriedConn) Write(b []byte) (int, error) {
 	written := 0
 	for part := range slices.Chunk(b, pieceSize) {
+		c.sent.Add(uint64(len(part)))
 		if err := c.send(&wire.Piece{Data: part}); err != nil {
 			return written, &relay.CarrierError{Node: c.node, Err: err}
 		}
--- a/carry/serve.go
+++ b/carry/serve.go
@@ -115,6 +115,10 @@
 	stream     Stream
 	answeredAt time.Duration // when the other node was told that the connection exists, since boot
 	sending    sync.Mutex
+
+	writing  sync.Mutex // held during a write to conn
+	taken    uint64     // bytes that conn took
+	writeErr error      // of the first write that failed
 }
 
 // run forwards in both directions until the other node closes the stream, which it does at
@@ -153,12 +157,32 @@
 			return
 		}
 		first = false
-		if _, err := f.conn.Write(piece.GetData()); err != nil {
-			// The reason shows when the response is read: an endpoint may respond before
-			// it has read the request.
-			continue
-		}
+		f.write(piece.GetData())
+	}
+}
+
+// write writes a part of the request to the endpoint. An error ends nothing, as an endpoint may respond before it
+// has read the request, but a response that ends with the connection is then not whole.
+func (f *forwarding) write(data []byte) {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	n, err := f.conn.Write(data)
+	f.taken += uint64(n)
+	if err != nil && f.writeErr == nil {
+		f.writeErr = err
+	}
+}
+
+// endOfResponse returns the piece that says that the endpoint has closed the connection. The kernel reports a reset
+// once, to a write if that comes first; the read after it sees a proper end.
+func (f *forwarding) endOfResponse() *wire.Piece {
+	_ = f.conn.SetWriteDeadline(time.Now().Add(relay.MaxWriteEnd)) // ends a write that the endpoint does not read
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	if f.writeErr != nil {
+		return &wire.Piece{Broken: fmt.Sprintf("the connection closed, and a write of the request failed: %v", f.writeErr)}
 	}
+	return &wire.Piece{End: true, Taken: f.taken}
 }
 
 // forwardResponse forwards what the endpoint sends, and how it ends.
@@ -170,7 +194,7 @@
 			return
 		}
 		if err == io.EOF {
-			f.send(&wire.Piece{End: true})
+			f.send(f.endOfResponse())
 			return
 		}
 		if err != nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,6 +16,10 @@
 	"github.com/plantaindeck/plantaindeck/socket"
 )
 
+// MaxWriteEnd is the time from the end of a response that has neither a length nor chunks until the write of its
+// request must have ended. It has before an endpoint that has read the whole request responds.
+const MaxWriteEnd = time.Second
+
 const (
 	maxHeaderSize    = 64 << 10 // bytes of all response headers of one exchange
 	writeBufferSize  = 4 << 10  // bytes
@@ -113,14 +117,13 @@
 // roundTrip writes the request and reads the header of the response at the same
 // time, as an endpoint may respond before it has read a long body.
 func roundTrip(conn net.Conn, r Request) (*Response, error) {
-	written := make(chan error, 1)
+	written := &requestWrite{done: make(chan struct{})}
 	go func() {
+		defer close(written.done)
 		w := bufio.NewWriterSize(conn, writeBufferSize)
-		err := writeRequest(w, r)
-		if err == nil {
-			err = w.Flush()
+		if written.err = writeRequest(w, r); written.err == nil {
+			written.err = w.Flush()
 		}
-		written <- err
 	}()
 	req := &http.Request{Method: r.Method}
 	limited := &io.LimitedReader{R: conn, N: maxHeaderSize}
@@ -130,9 +133,9 @@
 		var carrier *CarrierError
 		if err != nil && !errors.As(err, &carrier) {
 			select {
-			case writeErr := <-written:
-				if writeErr != nil {
-					err = writeErr
+			case <-written.done:
+				if written.err != nil {
+					err = written.err
 				}
 			default:
 			}
@@ -148,11 +151,65 @@
 		}
 		limited.N = 1 << 62
 		untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: untilClose, body: resp.Body}, nil
+		body := resp.Body
+		if untilClose {
+			body = &unframedBody{ReadCloser: body, written: written}
+		}
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: untilClose, body: body}, nil
 	}
 	return nil, errors.New("endpoint sent only interim (1xx) responses")
 }
 
+// requestWrite is the write of a request, which goes on while its response is read.
+type requestWrite struct {
+	done chan struct{} // closed when it has ended
+	err  error         // valid once done is closed
+}
+
+// UnreadError says that a response that ends with its connection has ended before the whole request was written, so
+// that it may be a part: the connection may have been reset.
+type UnreadError struct {
+	Err error // of the write; nil if it has not ended
+}
+
+// Error describes the state of the write.
+func (e *UnreadError) Error() string {
+	if e.Err == nil {
+		return "the connection closed before the request was written, so that the response may not be whole"
+	}
+	return fmt.Sprintf("the connection closed and the response may not be whole, as the write of the request failed: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadError) Unwrap() error { return e.Err }
+
+// unframedBody is a body that ends with its connection. Load pattern: an endpoint responds to a long upload at once
+// and then resets the connection. The kernel reports a reset once, to the write of the request if that comes first;
+// the read that follows sees a proper end.
+type unframedBody struct {
+	io.ReadCloser
+	written *requestWrite
+}
+
+// Read implements io.Reader. It returns io.EOF only if the request has been written whole.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	timeout := time.NewTimer(MaxWriteEnd)
+	defer timeout.Stop()
+	select {
+	case <-b.written.done:
+		if b.written.err != nil {
+			return n, &UnreadError{Err: b.written.err}
+		}
+		return n, io.EOF
+	case <-timeout.C:
+		return n, &UnreadError{}
+	}
+}
+
 // unforwardedHeaders are the headers that writeRequest writes itself or that concern the connection
 // to the caller.
 var unforwardedHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
