--- a/feed/evacuate.go
+++ b/feed/evacuate.go
@@ -15,6 +15,9 @@
 // never ended could not be ended by the store, which reports no removal of a key that it lacks.
 const evacuationHold = time.Minute
 
+// missedEndsTimeout bounds a watch for changes that the store has made.
+const missedEndsTimeout = 10 * time.Millisecond
+
 // evacuationItem returns the gossip item for an evacuation.
 func evacuationItem(e Evacuation, v fleet.Version) *wire.Item {
 	if e.Removed {
@@ -63,3 +66,29 @@
 		f.cfg.Daemon.Post(ctx, ends)
 	}
 }
+
+// postMissedEnds ends the evacuations whose keys were removed between the last watch and a list of the same era. The
+// list does not show that: it lacks the key of an evacuation of an earlier era also if the operator has not written it
+// again.
+func (f *Feed) postMissedEnds(ctx context.Context, last, listed fleet.Version) error {
+	if listed.Era != last.Era || listed.Revision <= last.Revision {
+		return nil
+	}
+	r, err := f.cfg.Store.Watch(ctx, "", last.Revision, missedEndsTimeout)
+	if err != nil {
+		return err
+	}
+	if r.Era != last.Era {
+		return &store.EraError{Want: last.Era, Got: r.Era}
+	}
+	var ends kernel.ItemsLearned
+	for _, e := range r.Entries {
+		if c, ok := f.cfg.Decode(e).(Evacuation); ok && c.Removed {
+			ends.Items = append(ends.Items, evacuationItem(c, fleet.Version{Era: r.Era, Revision: e.Revision}))
+		}
+	}
+	if len(ends.Items) > 0 {
+		f.cfg.Daemon.Post(ctx, ends)
+	}
+	return nil
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -234,6 +234,9 @@
 // A failure holds back no removals, as the watch goes on.
 func (f *Feed) confirm(ctx context.Context, at fleet.Version) (fleet.Version, time.Time, error) {
 	version, err := f.list(ctx, false)
+	if err == nil {
+		err = f.postMissedEnds(ctx, at, version)
+	}
 	var otherEra *store.EraError
 	switch {
 	case err == nil:
