--- a/poison/culprit.go
+++ b/poison/culprit.go
@@ -48,11 +48,18 @@
 func (e evidence) bestExplanation(known []traitSet) (traitSet, bool) {
 	occurrences, unexplained := countOccurrences(e.crashes, known)
 	byCrashes := map[uint64][]uint64{} // traits by the set of crashes in which they occur, bit i for crashes[i]
+	sufficient := map[uint64]bool{}    // sets of crashes that are enough to quarantine one of these traits
 	for t, mask := range occurrences {
-		if mask&unexplained != 0 && e.suffices(t, mask) {
+		if mask&unexplained == 0 {
+			continue
+		}
+		suffices := e.suffices(t, mask)
+		sufficient[mask] = sufficient[mask] || suffices
+		if suffices || !e.isEstablished(t) {
 			byCrashes[mask] = append(byCrashes[mask], t)
 		}
 	}
+	maps.DeleteFunc(byCrashes, func(mask uint64, _ []uint64) bool { return !sufficient[mask] })
 	masks := slices.SortedFunc(maps.Keys(byCrashes), func(a, b uint64) int {
 		return cmp.Or(cmp.Compare(bits.OnesCount64(b), bits.OnesCount64(a)), cmp.Compare(a, b))
 	})
--- a/poison/culprit_test.go
+++ b/poison/culprit_test.go
@@ -150,3 +150,19 @@
 		qt.Assert(t, culprits(unknownTraits(crashes), nil), qt.DeepEquals, []traitSet{set(bad)})
 	})
 }
+
+// TestRepeatedRequestAmongBystanders guards against a sound trait that is quarantined alone since the harmful one, which
+// requests with both have at each crash, came with too few requests: one of them came again.
+func TestRepeatedRequestAmongBystanders(t *testing.T) {
+	crashes := crashesOf(
+		[][]uint64{{own, partA, bad}, {own + 1, partA}},
+		[][]uint64{{own + 2, partA, bad}, {own + 3, partA}},
+		[][]uint64{{own + 2, partA, bad}, {own + 4, partA}},
+	)
+	for i, c := range crashes {
+		for _, r := range c.requests {
+			crashes[i].own = append(crashes[i].own, r[0])
+		}
+	}
+	qt.Assert(t, culprits(unknownTraits(crashes), nil), qt.DeepEquals, []traitSet{newTraitSet([]uint64{partA, bad})})
+}
