--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,9 @@
 	// OnQuarantine is called when requests with all of the given traits are quarantined. It
 	// may be nil.
 	OnQuarantine func(traits []uint64)
+	// OnCrash is called when another node has reported the crash of an endpoint's process. It must not block and may
+	// be nil.
+	OnCrash func(endpoint string, startMillis int64)
 	// OnPlacement is called with the messages Place, Placed and Done of other nodes, which do
 	// not pass through the kernel: the reply must be exact, so that the usage tracker of the
 	// entry package chooses and reserves in one step. It must not block, may be called by
@@ -279,6 +282,10 @@
 		if d.cfg.OnQuarantine != nil {
 			d.cfg.OnQuarantine(f.Traits)
 		}
+	case kernel.NotifyCrash:
+		if d.cfg.OnCrash != nil {
+			d.cfg.OnCrash(f.Endpoint, f.StartMillis)
+		}
 	case kernel.SaveQuarantine:
 		if d.cfg.OnSaveQuarantine != nil {
 			d.cfg.OnSaveQuarantine(f)
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/plantaindeck/plantaindeck/fleet"
-	"github.com/plantaindeck/plantaindeck/kernel"
 	"github.com/plantaindeck/plantaindeck/relay"
 	"github.com/plantaindeck/plantaindeck/wait"
 )
@@ -46,7 +45,8 @@
 
 // checkCrash starts a check whether an endpoint has crashed, after the connection of a
 // request broke that is not known to be sound, or adds the request to the check that runs. A
-// request that a quarantine has ended may still have crashed the endpoint, and explains it. An
+// request that a quarantine has ended may still have crashed the endpoint, and explains it; so may one whose
+// caller has left or whose time has ended, which starts no check, as the end of its connection shows nothing. An
 // endpoint that is leaving ends as planned, so it is not checked, and neither is one in an
 // evacuated data centre, as it gets no more connections.
 func (s *Server) checkCrash(ctx context.Context, rr *routedRequest, e fleet.Endpoint, err error) {
@@ -55,12 +55,16 @@
 	if errors.As(err, &carrier) {
 		return
 	}
-	if ctx.Err() != nil && !wasAborted(ctx) || !errors.As(err, &lost) || errors.Is(err, context.DeadlineExceeded) {
+	if wasStopped(ctx) || !errors.As(err, &lost) {
 		return
 	}
 	if now, listed := s.view().Endpoint(e.ID); !listed || now.Leaving || s.view().IsEvacuated(now) {
 		return
 	}
+	if wasAbandoned(ctx, err) {
+		s.addAbandoned(time.Now(), rr, e)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := incarnation{e.ID, e.StartMillis}
@@ -81,6 +85,7 @@
 // runCrashCheck reports an endpoint as crashed if nothing listens at its address any more, or if it cannot be
 // reached and its next process is listed soon after.
 func (s *Server) runCrashCheck(ctx context.Context, e fleet.Endpoint) {
+	began := time.Now()
 	ended, unreached := s.cfg.Relay.HasEndedIf(ctx, e.Addr, func() bool { return s.takeCrashCheck(time.Now(), e) })
 	if !ended && unreached {
 		ended = s.awaitSuccessor(e)
@@ -96,13 +101,7 @@
 	if !ended {
 		return
 	}
-	s.metrics.crashes.Inc()
-	report := kernel.EndpointCrashed{Endpoint: e.ID, Service: e.Service, StartMillis: e.StartMillis}
-	for _, l := range c.lost {
-		report.Requests, report.Own = append(report.Requests, l.traits), append(report.Own, l.own)
-		s.record("crash", &l.req, e.ID, "the endpoint has crashed while it ran the request or began to answer it; traits: "+describeHashes(l.req.PromptParts, l.traits))
-	}
-	s.cfg.Daemon.Post(ctx, report)
+	s.reportCrash(ctx, e, append(c.lost, s.takeAbandoned(e, began.Add(-maxAbandonedRead))...))
 }
 
 // awaitSuccessor reports whether another process of an endpoint that could not be reached is listed within
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -200,7 +200,8 @@
 	generations    map[*generation]bool                       // those in flight
 	placements     *placements                                // in and for other load groups
 	crashChecks    map[incarnation]*crashCheck                // those that run
-	lostTraits     int                                        // of the requests of all crashChecks
+	abandoned      map[incarnation]*abandonedRequests         // requests that endpoints may run though nobody waits for them
+	lostTraits     int                                        // of the requests of all crashChecks and abandoned ones
 	withoutOutput  map[*routedRequest]context.CancelCauseFunc // requests in flight that have had no output; the function ends the request
 	tasks          sync.WaitGroup                             // probes and evacuations in the background
 	closed         bool                                       // no more tasks are started
@@ -226,6 +227,7 @@
 		generations:   map[*generation]bool{},
 		placements:    newPlacements(cfg.Daemon.SendTo),
 		crashChecks:   map[incarnation]*crashCheck{},
+		abandoned:     map[incarnation]*abandonedRequests{},
 		withoutOutput: map[*routedRequest]context.CancelCauseFunc{},
 
 		unrecordedSince: map[string]time.Time{},
--- a/kernel/effect.go
+++ b/kernel/effect.go
@@ -94,6 +94,12 @@
 	Traits []uint64
 }
 
+// NotifyCrash tells the driver that another node has reported the crash of an endpoint.
+type NotifyCrash struct {
+	Endpoint    string
+	StartMillis int64 // as in EndpointCrashed
+}
+
 // SaveQuarantine asks the driver to write a quarantine to the platform's store, where it
 // outlasts all nodes, or to remove it.
 type SaveQuarantine struct {
@@ -130,4 +136,5 @@
 func (SaveQuarantine) isEffect()   {}
 func (SaveOrigin) isEffect()       {}
 func (NotifyQuarantine) isEffect() {}
+func (NotifyCrash) isEffect()      {}
 func (Record) isEffect()           {}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -182,7 +182,9 @@
 	case kernel.FrameReceived:
 		switch body := e.Frame.GetBody().(type) {
 		case *wire.Frame_Crash:
-			return v.addCrash(now, m, decodeCrash(body.Crash))
+			report := decodeCrash(body.Crash)
+			next, effects := v.addCrash(now, m, report)
+			return next, append(effects, kernel.NotifyCrash{Endpoint: report.endpoint, StartMillis: report.startMillis})
 		case *wire.Frame_Sound:
 			next, _, effects := v.refute(now, m, decodeSound(body.Sound))
 			return next, effects
