--- a/fakes/command.go
+++ b/fakes/command.go
@@ -200,6 +200,7 @@
 type ServiceFaults struct {
 	DropResponses  int           `json:"drop"`   // number of calls to execute without a response
 	RefuseRequests int           `json:"refuse"` // number of calls to reject with 503, without executing them
+	FailRequests   int           `json:"fail"`   // number of calls to fail with 500, without executing them
 	Delay          time.Duration `json:"delay"`  // additional time that each call takes
 	CrashOn        string        `json:"crash"`  // the service crashes when it begins to run a call whose body contains this; empty for none
 }
@@ -254,6 +255,10 @@
 		replyError(ctx, fasthttp.StatusServiceUnavailable, "refused")
 		return
 	}
+	if s.takeFault(func(f *ServiceFaults) *int { return &f.FailRequests }) {
+		replyError(ctx, fasthttp.StatusInternalServerError, "failed")
+		return
+	}
 	if s.crashesOn(string(ctx.PostBody())) {
 		crash(ctx, s.Kill)
 		return
--- a/front/quarantine_test.go
+++ b/front/quarantine_test.go
@@ -98,3 +98,28 @@
 		}
 	})
 }
+
+// TestFailedCallIsNoOutput guards against a call that crashes endpoints and counts as sound, since some endpoints fail
+// it before they begin to run it. Each second one does.
+func TestFailedCallIsNoOutput(t *testing.T) {
+	d := startDeployment(t, local.Config{Nodes: 2, Engines: 1, Services: 8})
+	var addrs []string
+	for _, s := range d.Services {
+		addrs = append(addrs, s.Addr())
+	}
+	time.Sleep(joinTime)
+	failed, status := 0, 0
+	for i := 0; i < 4*maxCrashes && status != 503; i++ {
+		for _, s := range d.Services {
+			s.SetFaults(fakes.ServiceFaults{CrashOn: "harmful", FailRequests: i % 2})
+		}
+		status, _, _ = doRequest(t, d.FrontAddr(i%2), request{"POST", "/v1/services/orders/orders", "w1-key", "harmful", nil})
+		if status == 500 {
+			failed++
+		}
+		time.Sleep(judgeTime / 2)
+	}
+	crashed := countEnded(addrs)
+	qt.Assert(t, crashed <= maxCrashes, qt.IsTrue, qt.Commentf("%d servers crashed, %d calls failed with 500", crashed, failed))
+	qt.Assert(t, status, qt.Equals, 503, qt.Commentf("%d servers crashed, %d calls failed with 500", crashed, failed))
+}
