--- a/poison/poison.go
+++ b/poison/poison.go
@@ -4,8 +4,8 @@
 // It is a plug-in of the kernel. It knows a request by its traits, hashes of what others may
 // have in common with it, such as the parts of its prompt, or the request itself when it comes
 // again. When an endpoint crashes, each node tells all others the traits of its requests that
-// ran there and had no output yet. What the requests of several crashes share is quarantined:
-// each node rejects requests that have it. Output clears the traits of a request, as those that
+// ran there and had no output yet, also of those that nobody waits for any more. What the requests
+// of several crashes share is quarantined: each node rejects requests that have it. Output clears the traits of a request, as those that
 // crash endpoints never have any.
 //
 // Load pattern: requests that are alike in one trait only, or the same request again and again,
@@ -16,6 +16,7 @@
 // Invariants:
 //   - A trait is suspected of a crash only if a request with it ran there without output, and no
 //     request with it has had output since.
+//   - Output at a node refutes only the crashes that the node knew, and quarantines that began before it.
 //   - A process of an endpoint crashes once, however many nodes report it.
 //   - A request that comes again is evidence against what it shares with others once, however
 //     many endpoints crash under it.
--- a/poison/refute.go
+++ b/poison/refute.go
@@ -133,7 +133,8 @@
 	return m
 }
 
-// lifts reports whether output lifts a quarantine, or what another node knows of its traits. The view has the evidence that it does not refute.
+// lifts reports whether a refutation lifts a quarantine. The view has the evidence that is left; refuted says that some
+// was dropped.
 func (v *View) lifts(r refutation, set traitSet, q quarantine, refuted bool) bool {
 	return r.all || max(r.lifted[set], r.doubted[set]) >= q.number || refuted && v.crashesUnder(set) < minCrashes
 }
