--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -68,6 +68,7 @@
 // TestColdCentreComesBack guards against all nodes filling the empty endpoints of a data centre
 // that comes back cold: they get what they can bear, the others the rest.
 func TestColdCentreComesBack(t *testing.T) {
+	t.Parallel()
 	const span = 4 * time.Second
 	for _, nodes := range []int{4, 100, 400} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
--- a/entry/evacuated_test.go
+++ b/entry/evacuated_test.go
@@ -26,6 +26,7 @@
 // TestEvacuatedCentre guards against each path by which a request could still reach an endpoint
 // of an evacuated data centre.
 func TestEvacuatedCentre(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{4, 100, 400} {
 		n := startNetwork(t, nodes, 72)
 		s := newSimServer(0)
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -146,6 +146,7 @@
 // also while nodes are restarted, and use at least half of what the endpoints take when
 // all of them state a limit.
 func TestRateLimitAcrossNodes(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ nodes, engines int }{{4, 3}, {24, 6}, {77, 12}} {
 		for _, limited := range []int{1, size.engines} {
 			t.Run(fmt.Sprintf("%d nodes, %d of %d endpoints", size.nodes, limited, size.engines), func(t *testing.T) {
